--- /dev/null
+++ b/crates/core/src/constants.rs
@@ -0,0 +1,130 @@
+//! Every fixed number of the program, with its unit and the reason for it.
+//! What depends on a deployment comes from its settings instead.
+
+/// Milliseconds between two housekeeping passes: fine enough for second-sized waits.
+pub const TICK_MS: u64 = 200;
+
+/// Milliseconds between two full lookups when nothing else triggers one. The watch
+/// normally triggers them; this backs up a lost message.
+pub const POLL_MS: u64 = 5_000;
+
+/// Most a node waits, in milliseconds, before it looks up work that a sibling accepted.
+/// The accepting node looks first, so that three nodes do not claim the same work.
+pub const FOREIGN_LOOKUP_MS: u64 = 700;
+
+/// Tasks per chunk record at most: a booked task takes about 50 bytes in its chunk.
+pub const CHUNK_TASKS: u32 = 100;
+/// Bytes reserved per task of a chunk when the value limit sets the chunk's size.
+pub const CHUNK_TASK_BYTES: u64 = 72;
+/// Bytes reserved per booking in a machine's record.
+pub const BOOKING_BYTES: u64 = 170;
+/// Bytes of a machine's record apart from its bookings (type, address, image list).
+pub const MACHINE_BASE_BYTES: u64 = 1_500;
+/// Images remembered per machine: more are never warm at once on the types seen.
+pub const MACHINE_IMAGES: usize = 12;
+/// Bytes that a transaction may have in all (64 KiB by protocol), less some room.
+pub const TXN_BYTES: usize = 60_000;
+/// Conditions allowed per put of a transaction, by protocol.
+pub const CONDITIONS_PER_OP: usize = 4;
+
+/// Milliseconds between two proofs of freshness: requests that arrive meanwhile share one.
+pub const PROOF_GAP_MS: u64 = 40;
+/// Milliseconds after which a user's request that could not be decided gets a 503.
+/// Users give up on submissions after 5 s.
+pub const SUBMIT_PATIENCE_MS: u64 = 3_500;
+/// The same for status requests, which users give up on after 2 s.
+pub const STATUS_PATIENCE_MS: u64 = 1_500;
+/// Seconds told to a user in `Retry-After` when the service can't decide.
+pub const RETRY_AFTER_S: u32 = 1;
+/// The same while the state service does not answer: outages last longer than that.
+pub const OUTAGE_RETRY_AFTER_S: u32 = 2;
+
+/// Milliseconds without any good answer from the state service before it counts as lost.
+pub const STATE_LOST_MS: u64 = 1_500;
+/// Milliseconds between heartbeat reads of the state service when nothing else is read.
+pub const STATE_BEAT_MS: u64 = 500;
+/// Milliseconds that the watch may trail a proven revision before it is opened anew.
+pub const WATCH_TRAIL_MS: u64 = 1_000;
+/// Milliseconds a watch is held open by the state service.
+pub const WATCH_HOLD_MS: u64 = 10_000;
+
+/// Milliseconds between two messages to each sibling.
+pub const PEER_BEAT_MS: u64 = 500;
+/// Milliseconds after which a sibling's last message says nothing about it any more.
+pub const PEER_FRESH_MS: u64 = 2_500;
+
+/// Milliseconds a worker waits for the answer to a check-in, by protocol.
+pub const CHECKIN_LIMIT_MS: u64 = 4_000;
+/// Most that an idle check-in is held, in milliseconds: a finish is only reported by the
+/// check-in after it, and users expect `done` within 3 s.
+pub const HOLD_MAX_MS: u64 = 2_300;
+/// Share of the report interval that an idle check-in is held.
+pub const HOLD_SHARE: f64 = 0.8;
+/// Milliseconds a check-in may wait for a transaction of its own before it is answered.
+pub const CHECKIN_PATIENCE_MS: u64 = 3_200;
+
+/// Milliseconds that workers take to turn to another node (4 s limit and 1 s pause).
+pub const WORKER_MOVE_MS: u64 = 5_000;
+/// Milliseconds of spare time added to a worker's move before its silence counts.
+pub const SILENCE_SPARE_MS: u64 = 1_000;
+/// By how much the silence limit grows while most machines are silent: then the network
+/// or the controllers are at fault rather than the machines.
+pub const SILENCE_DOUBT: u64 = 3;
+/// Milliseconds between the same step of two nodes, so that one of them goes first.
+pub const NODE_STAGGER_MS: u64 = 600;
+/// Milliseconds spared before `cancel_s` runs out, for a halt or a deletion to work.
+pub const CANCEL_MARGIN_MS: u64 = 5_000;
+/// Share of `cancel_s` after which a machine that still holds a cancelled task is deleted.
+pub const CANCEL_DELETE_SHARE: f64 = 0.6;
+/// Milliseconds between two `halt`s of one task by `/do`.
+pub const HALT_REPEAT_MS: u64 = 2_000;
+
+/// Milliseconds between two readings of the cloud's catalogue.
+pub const CATALOG_MS: u64 = 45_000;
+/// Milliseconds between two tries for the first catalogue.
+pub const CATALOG_RETRY_MS: u64 = 1_000;
+/// Milliseconds between two readings of the cloud's machine list.
+pub const LIST_MS: u64 = 8_000;
+/// Machines asked for per page of the list, by protocol.
+pub const LIST_PAGE: u32 = 500;
+/// Machines per rental request at most, by protocol.
+pub const HIRE_MAX: u32 = 50;
+/// Milliseconds that a type, zone and kind is passed over after a refusal.
+pub const REFUSED_MS: u64 = 15_000;
+/// Milliseconds after which a rental without an outcome is asked again by any node.
+pub const HIRE_RETRY_MS: u64 = 4_000;
+/// Boot times (multiples of the catalogue's) after which a machine is given up.
+pub const BOOT_GIVE_UP: f64 = 4.0;
+/// Milliseconds added to that, for lists and reports to come in.
+pub const BOOT_SPARE_MS: u64 = 20_000;
+/// Milliseconds a machine stays idle before it is returned: the minimum charge is 60 s and
+/// the next work of the same kind usually comes within it.
+pub const IDLE_RETURN_MS: u64 = 45_000;
+/// Milliseconds between two deletion requests for the same machine.
+pub const DELETE_RETRY_MS: u64 = 3_000;
+/// Machines per deletion request at most, by protocol.
+pub const DELETE_MAX: usize = 100;
+
+/// Different jobs that fail on a machine, with no success between, before it counts as sick.
+pub const SICK_JOBS: usize = 2;
+/// Different machines on which a job's tasks fail before the job itself counts as faulty.
+pub const FAULTY_MACHINES: usize = 3;
+/// First pause, in milliseconds, of a task that failed; doubled with each further failure.
+pub const FAIL_PAUSE_MS: u64 = 1_000;
+/// Longest such pause in milliseconds.
+pub const FAIL_PAUSE_MAX_MS: u64 = 30_000;
+
+/// Names of deleted machines that are remembered, so that a late report is not taken up.
+pub const GONE_REMEMBERED: usize = 2_000;
+/// Requests of users waiting at once; more are answered 503.
+pub const WAITING_REQUESTS: usize = 2_000;
+/// Tasks that one check-in may list.
+pub const REPORT_TASKS: usize = 1_000;
+/// Bytes of a request body at most, by protocol.
+pub const BODY_BYTES: u64 = 64 * 1024;
+/// Tasks of a job at most, by protocol.
+pub const JOB_TASKS: u64 = 100_000;
+/// Jobs looked at per lookup, best first: bounds the work of one pass.
+pub const LOOKUP_JOBS: usize = 400;
+/// Chunks looked at per job and lookup.
+pub const LOOKUP_CHUNKS: u32 = 4;
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,259 @@
+//! Users' requests: submit, status, cancel. Nothing is answered from records that might be
+//! old, except what can never change.
+
+use crate::constants::*;
+use crate::model::*;
+use crate::node::*;
+use crate::records::*;
+
+#[derive(Clone, Debug)]
+pub(crate) enum Want {
+    Submit(Box<JobSpec>),
+    Status,
+    Cancel,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    pub job: String,
+    pub want: Want,
+    pub until: Millis,
+}
+
+impl Node {
+    pub(crate) fn ask_submit(&mut self, request: RequestId, spec: JobSpec) {
+        let ask = Ask {
+            job: spec.id.clone(),
+            want: Want::Submit(Box::new(spec)),
+            until: self.now + SUBMIT_PATIENCE_MS,
+        };
+        self.ask(request, ask);
+    }
+
+    pub(crate) fn ask_status(&mut self, request: RequestId, job: String) {
+        let ask = Ask {
+            job,
+            want: Want::Status,
+            until: self.now + STATUS_PATIENCE_MS,
+        };
+        self.ask(request, ask);
+    }
+
+    pub(crate) fn ask_cancel(&mut self, request: RequestId, job: String) {
+        let ask = Ask {
+            job,
+            want: Want::Cancel,
+            until: self.now + SUBMIT_PATIENCE_MS,
+        };
+        self.ask(request, ask);
+    }
+
+    fn ask(&mut self, request: RequestId, ask: Ask) {
+        // A final state never changes, so the copy suffices however old it is.
+        if let Some(job) = self.cache.job(&ask.job).filter(|j| j.phase != Phase::Open) {
+            let reply = self.job_reply(&ask, job);
+            self.emit(Effect::User { request, reply });
+            return;
+        }
+        if !self.state_ok() || self.asks.len() >= WAITING_REQUESTS {
+            let reply = self.later();
+            self.emit(Effect::User { request, reply });
+            return;
+        }
+        // A new job needs no proof of freshness: its record is only written if absent.
+        let new = self.cache.job(&ask.job).is_none();
+        let valid = matches!(&ask.want, Want::Submit(spec) if self.never(spec).is_none());
+        let at_once = new && valid && !self.types.is_empty();
+        self.asks.insert(request, ask);
+        if at_once {
+            self.proven(request);
+        } else {
+            self.unproven.push(request);
+        }
+    }
+
+    fn later(&self) -> UserReply {
+        let after_s = match self.state_ok() {
+            true => RETRY_AFTER_S,
+            false => OUTAGE_RETRY_AFTER_S,
+        };
+        UserReply::Later { after_s }
+    }
+
+    pub(crate) fn answer(&mut self, request: RequestId, reply: UserReply) {
+        if self.asks.remove(&request).is_some() {
+            self.emit(Effect::User { request, reply });
+        }
+    }
+
+    /// The records are at least as new as the request.
+    pub(crate) fn proven(&mut self, request: RequestId) {
+        let Some(ask) = self.asks.get(&request).cloned() else {
+            return;
+        };
+        if let Some(job) = self.cache.job(&ask.job).cloned() {
+            if matches!(ask.want, Want::Cancel) && job.phase == Phase::Open {
+                let mut draft = Draft::new(&self.cache);
+                draft.read(&Key::Job(ask.job.clone()));
+                let over = job.over(Phase::Cancelled, self.wall);
+                draft.put(Key::Job(ask.job), Record::Job(over));
+                let txn = draft.finish();
+                self.commit(txn, Purpose::Ask(request), Priority::User);
+                return;
+            }
+            let reply = self.job_reply(&ask, &job);
+            self.answer(request, reply);
+            return;
+        }
+        let Want::Submit(spec) = ask.want else {
+            self.answer(request, UserReply::NotFound);
+            return;
+        };
+        if self.types.is_empty() {
+            let reply = self.later();
+            self.answer(request, reply);
+            return;
+        }
+        if let Some(why) = self.never(&spec) {
+            tracing::info!(job = spec.id, why, "refused");
+            self.answer(request, UserReply::Never(why));
+            return;
+        }
+        let by_value = (self.settings.value_bytes / CHUNK_TASK_BYTES).max(1) as u32;
+        let record = JobRecord {
+            phase: Phase::Open,
+            tasks: spec.tasks,
+            chunk: CHUNK_TASKS.min(by_value),
+            at: self.wall,
+            ended: 0,
+            spec: Some(*spec),
+        };
+        let mut draft = Draft::new(&self.cache);
+        draft.put(Key::Job(ask.job), Record::Job(record));
+        let txn = draft.finish();
+        self.commit(txn, Purpose::Ask(request), Priority::User);
+    }
+
+    /// The state service gave no proof this time.
+    pub(crate) fn unproved(&mut self, request: RequestId) {
+        if self.state_ok() && self.asks.contains_key(&request) {
+            self.unproven.push(request);
+        } else {
+            let reply = self.later();
+            self.answer(request, reply);
+        }
+    }
+
+    pub(crate) fn ask_committed(&mut self, request: RequestId, committed: bool) {
+        let Some(ask) = self.asks.get(&request).cloned() else {
+            return;
+        };
+        if !committed {
+            // Lost to another request, or the outcome is unknown: read again, then decide.
+            self.unproved(request);
+            return;
+        }
+        match ask.want {
+            Want::Submit(spec) => {
+                tracing::info!(
+                    job = ask.job,
+                    class = spec.class,
+                    team = spec.team,
+                    tasks = spec.tasks,
+                    "accepted"
+                );
+                self.answer(request, UserReply::Accepted { job: ask.job });
+            }
+            _ => {
+                tracing::info!(job = ask.job, "cancelled");
+                let state = JobState::Cancelled;
+                self.answer(
+                    request,
+                    UserReply::Cancelled {
+                        job: ask.job,
+                        state,
+                    },
+                );
+            }
+        }
+    }
+
+    pub(crate) fn tick_asks(&mut self) {
+        let late: Vec<RequestId> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| self.now >= a.until)
+            .map(|(r, _)| *r)
+            .collect();
+        for request in late {
+            let reply = self.later();
+            self.answer(request, reply);
+        }
+        if !self.state_ok() {
+            let waiting: Vec<RequestId> = self.asks.keys().copied().collect();
+            for request in waiting {
+                let reply = self.later();
+                self.answer(request, reply);
+            }
+            self.unproven.clear();
+        }
+    }
+
+    fn job_reply(&self, ask: &Ask, job: &JobRecord) -> UserReply {
+        let (state, done, running) = self.job_state(&ask.job, job);
+        match ask.want {
+            Want::Cancel => UserReply::Cancelled {
+                job: ask.job.clone(),
+                state,
+            },
+            _ => UserReply::State {
+                job: ask.job.clone(),
+                state,
+                done,
+                running,
+            },
+        }
+    }
+
+    fn job_state(&self, id: &str, job: &JobRecord) -> (JobState, u32, u32) {
+        match job.phase {
+            Phase::Done => (JobState::Done, job.tasks, 0),
+            Phase::Cancelled => (JobState::Cancelled, 0, 0),
+            Phase::Open => {
+                let (mut done, mut running) = (0, 0);
+                for (_, chunk) in self.cache.chunks_of(id) {
+                    done += chunk.done();
+                    running += chunk.booked().count() as u32;
+                }
+                let state = match running {
+                    0 => JobState::Queued,
+                    _ => JobState::Running,
+                };
+                (state, done, running)
+            }
+        }
+    }
+
+    /// Why a job can never run, if so.
+    fn never(&self, spec: &JobSpec) -> Option<String> {
+        let Some(team) = self.settings.teams.get(&spec.team) else {
+            return Some(format!("unknown team {}", spec.team));
+        };
+        let fits = self.types.values().any(|t| {
+            t.room.fits(&spec.need) && t.zones.iter().any(|z| spec.allows(&t.name, z, false))
+        });
+        if !fits {
+            return Some("a task fits no allowed machine type".into());
+        }
+        let at_once = match spec.shape {
+            Shape::Array => 1,
+            Shape::Service => spec.tasks as u64,
+        };
+        if (team.cpus_max > 0 && spec.need.cpus.saturating_mul(at_once) > team.cpus_max)
+            || (team.gpus_max > 0 && spec.need.gpus.saturating_mul(at_once) > team.gpus_max)
+        {
+            return Some("more than the team's limit".into());
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,12 @@
+//! The core of glenmount: it decides, and nothing else. Events go in, effects come out; time
+//! is passed in, chance is seeded. Sockets, files and timers are the business of its callers.
+
+pub mod capacity;
+pub mod claims;
+pub mod constants;
+pub mod jobs;
+pub mod lookup;
+pub mod machines;
+pub mod model;
+pub mod node;
+pub mod records;
--- /dev/null
+++ b/crates/core/src/machines.rs
@@ -0,0 +1,485 @@
+//! Machines: their check-ins, the evidence these bring, and machines that fall silent.
+//!
+//! A start travels only in the answer to the check-in recorded in its booking. A worker
+//! sends its next check-in only after it has taken or given up that answer, so a later
+//! check-in without the task proves that the start will never arrive.
+
+use crate::claims::{self, Outcome};
+use crate::constants::*;
+use crate::model::*;
+use crate::node::*;
+use crate::records::*;
+
+/// A check-in that waits for its answer.
+pub(crate) struct Held {
+    pub request: RequestId,
+    pub report: Report,
+    pub since: Millis,
+    /// A transaction for this check-in is on its way.
+    pub busy: bool,
+    /// Tries that ended in a conflict.
+    pub tries: u32,
+    /// Since when orders that may wait for company are ready.
+    pub ready_since: Option<Millis>,
+}
+
+impl Held {
+    fn mark(&self) -> (u64, u64) {
+        (self.report.session, self.report.tally)
+    }
+    /// The check-in a start may be booked for, if its answer is still far enough away.
+    pub fn open_for_starts(&self, now: Millis) -> Option<(u64, u64)> {
+        (now < self.since + CHECKIN_PATIENCE_MS - 400).then(|| self.mark())
+    }
+    fn reported(&self, task: &TaskId, attempt: u64) -> Option<TaskPhase> {
+        self.report
+            .tasks
+            .iter()
+            .find(|t| t.task == *task && t.attempt == attempt)
+            .map(|t| t.phase)
+    }
+}
+
+/// Milliseconds that `forget`s wait for a start to travel with them.
+const LINGER_MS: Millis = 100;
+
+impl Node {
+    pub(crate) fn check_in(&mut self, request: RequestId, report: Report) {
+        let id = report.machine.clone();
+        let mark = (report.session, report.tally);
+        let heard = self.heard.entry(id.clone()).or_insert(Heard {
+            at: self.now,
+            session: 0,
+            tally: 0,
+        });
+        if mark >= (heard.session, heard.tally) {
+            heard.at = self.now;
+            (heard.session, heard.tally) = mark;
+        }
+        let Some(token) = self.cache.term() else {
+            self.worker(request, WorkerReply::NotNow);
+            return;
+        };
+        if !self.state_ok() {
+            let reply = self.cut_off_reply(token);
+            self.worker(request, reply);
+            return;
+        }
+        if report.token > token {
+            // Commands of a newer term than this node knows: not entitled to answer.
+            self.worker(request, WorkerReply::NotNow);
+            return;
+        }
+        if let Some(old) = self.held.remove(&id) {
+            if old.mark() > mark {
+                self.held.insert(id, old);
+                self.worker(request, WorkerReply::NotNow);
+                return;
+            }
+            // The worker has given up the earlier one, so its answer carries nothing.
+            self.worker(old.request, WorkerReply::NotNow);
+        }
+        self.held.insert(
+            id.clone(),
+            Held {
+                request,
+                report,
+                since: self.now,
+                busy: false,
+                tries: 0,
+                ready_since: None,
+            },
+        );
+        self.advance(&id);
+    }
+
+    fn worker(&mut self, request: RequestId, reply: WorkerReply) {
+        self.emit(Effect::Worker { request, reply });
+    }
+
+    /// Cut off from the state service: hand workers to a sibling that reaches it, or keep
+    /// their leases alive without giving orders - but not for so long that a job cancelled
+    /// elsewhere would outlive its time here, unless the outage is everyone's.
+    fn cut_off_reply(&self, token: u64) -> WorkerReply {
+        if let Some(node) = self.sibling_with_state() {
+            return WorkerReply::Elsewhere { node: Some(node) };
+        }
+        let limit = self
+            .settings
+            .cancel_ms
+            .saturating_sub(self.settings.lease_ms + CANCEL_MARGIN_MS);
+        let common = self.fresh_siblings().count() + 1 == self.settings.nodes.len();
+        if self.loaded && (common || self.state_age() < limit) {
+            WorkerReply::Orders {
+                token,
+                orders: Vec::new(),
+            }
+        } else {
+            WorkerReply::NotNow
+        }
+    }
+
+    pub(crate) fn advance_held(&mut self) {
+        let ids: Vec<String> = self.held.keys().cloned().collect();
+        for id in ids {
+            self.advance(&id);
+        }
+    }
+
+    /// Does what the held check-in of a machine calls for next: a transaction, the answer,
+    /// or waiting on.
+    fn advance(&mut self, id: &str) {
+        let Some(held) = self.held.get(id) else {
+            return;
+        };
+        if held.busy {
+            return;
+        }
+        if held.tries < 20 && !self.busy_machines.contains(id) {
+            let txn = self.reconcile(held);
+            if !txn.changes.is_empty() {
+                if let Some(held) = self.held.get_mut(id) {
+                    held.busy = true;
+                }
+                self.commit(txn, Purpose::Machine(id.to_string()), Priority::Result);
+                return;
+            }
+        }
+        self.try_answer(id);
+    }
+
+    /// The changes of the records that a check-in gives reason for.
+    fn reconcile(&self, held: &Held) -> Txn {
+        let report = &held.report;
+        let id = &report.machine;
+        let mark = held.mark();
+        let wall = self.wall;
+        let mut draft = Draft::new(&self.cache);
+        let Some(record) = self.cache.machine(id) else {
+            if self.gone.contains(id) {
+                return Txn::default();
+            }
+            let machine = MachineRecord {
+                type_name: report.type_name.clone(),
+                zone: report.zone.clone(),
+                spot: report.spot,
+                phase: MachinePhase::Up,
+                at: wall,
+                address: report.address.clone(),
+                bookings: Vec::new(),
+                images: Vec::new(),
+                faults: Vec::new(),
+            };
+            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+            return draft.finish();
+        };
+        for b in &record.bookings {
+            let task = b.task();
+            let job = self.cache.job(&b.job);
+            let wanted = b.stop.is_none() && job.is_some_and(|j| j.open().is_some());
+            let ended = match (held.reported(&task, b.attempt), b.armed) {
+                (Some(TaskPhase::Exited(cause)), _) => Some(match cause {
+                    Cause::Done => Outcome::Done,
+                    Cause::Error => Outcome::Failed,
+                    Cause::NoRoom | Cause::Busy | Cause::Unknown => Outcome::Refused,
+                    Cause::Stopped | Cause::Other => Outcome::Gone,
+                }),
+                (Some(_), _) => None,
+                // A newer session: the worker has killed and forgotten everything older.
+                (None, Some((session, _))) if session < mark.0 => Some(Outcome::Gone),
+                // Never started, and by now it can't be: release it, or try again below.
+                (None, Some(armed)) if armed < mark && !wanted => Some(Outcome::Gone),
+                (None, None) if !wanted => Some(Outcome::Gone),
+                _ => None,
+            };
+            let step = draft.save();
+            if let Some(outcome) = ended {
+                claims::release(&mut draft, id, &task, b.attempt, outcome, wall);
+            } else if wanted
+                && held.reported(&task, b.attempt).is_none()
+                && b.armed.is_none_or(|armed| armed < mark)
+                && held.open_for_starts(self.now).is_some()
+            {
+                // The start goes into this answer, once the booking says so.
+                if let Some(mut machine) = draft.machine(id) {
+                    if let Some(b) = machine
+                        .bookings
+                        .iter_mut()
+                        .find(|x| x.attempt == b.attempt && x.job == b.job && x.index == b.index)
+                    {
+                        b.armed = Some(mark);
+                    }
+                    draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+                }
+            }
+            if !draft.within(self.settings.txn_ops) {
+                draft.restore(step);
+                break;
+            }
+        }
+        let Some(mut machine) = draft.machine(id) else {
+            return draft.finish();
+        };
+        let before = machine.clone();
+        if machine.phase == MachinePhase::Booting {
+            machine.phase = MachinePhase::Up;
+        }
+        if machine.address != report.address {
+            machine.address = report.address.clone();
+        }
+        if report.notice_s.is_some() && machine.phase == MachinePhase::Up {
+            machine.phase = MachinePhase::Draining;
+        }
+        if machine != before {
+            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+        }
+        if draft.is_empty() {
+            return Txn::default();
+        }
+        draft.finish()
+    }
+
+    pub(crate) fn machine_committed(&mut self, id: &str, committed: bool) {
+        let Some(held) = self.held.get_mut(id) else {
+            return;
+        };
+        held.busy = false;
+        if !committed {
+            // Re-read by way of the watch, then try again.
+            held.tries += 1;
+        }
+        self.changed = true;
+        if committed {
+            self.lookup_wanted = true;
+        }
+    }
+
+    /// What the worker is told, from records that are committed.
+    fn orders(&self, held: &Held) -> Vec<Order> {
+        let id = &held.report.machine;
+        let mark = held.mark();
+        let mut orders = Vec::new();
+        let record = self.cache.machine(id);
+        for t in &held.report.tasks {
+            let booking = record.and_then(|m| {
+                m.bookings.iter().find(|b| {
+                    b.attempt == t.attempt && b.job == t.task.job && b.index == t.task.index
+                })
+            });
+            let job = self.cache.job(&t.task.job);
+            match (t.phase, booking) {
+                (TaskPhase::Exited(_), None) => orders.push(Order::Forget {
+                    task: t.task.clone(),
+                    attempt: t.attempt,
+                }),
+                (TaskPhase::Exited(_), Some(_)) => {}
+                (phase, booking) => {
+                    let over = job.is_none_or(|j| j.open().is_none());
+                    let stop = booking.is_some_and(|b| b.stop.is_some());
+                    if over || booking.is_none() {
+                        orders.push(Order::Stop {
+                            task: t.task.clone(),
+                            attempt: t.attempt,
+                            grace_s: 0.0,
+                        });
+                    } else if stop && phase != TaskPhase::Saving {
+                        let grace_s = job
+                            .and_then(|j| j.open())
+                            .map_or(0.0, |s| s.save_s * 1.5 + 1.0);
+                        orders.push(Order::Stop {
+                            task: t.task.clone(),
+                            attempt: t.attempt,
+                            grace_s,
+                        });
+                    }
+                }
+            }
+        }
+        for b in record.iter().flat_map(|m| &m.bookings) {
+            let task = b.task();
+            if b.armed == Some(mark)
+                && b.stop.is_none()
+                && held.reported(&task, b.attempt).is_none()
+                && self.cache.job(&b.job).is_some_and(|j| j.open().is_some())
+            {
+                orders.push(Order::Start {
+                    task,
+                    attempt: b.attempt,
+                });
+            }
+        }
+        orders
+    }
+
+    fn try_answer(&mut self, id: &str) {
+        let Some(held) = self.held.get(id) else {
+            return;
+        };
+        let age = self.now - held.since;
+        let orders = self.orders(held);
+        let urgent = orders.iter().any(|o| !matches!(o, Order::Forget { .. }));
+        let ready = match (orders.is_empty(), held.ready_since) {
+            (true, _) => age >= self.settings.hold_ms,
+            (false, _) if urgent && !self.lookup_busy => true,
+            (false, None) => {
+                let now = self.now;
+                if let Some(h) = self.held.get_mut(id) {
+                    h.ready_since = Some(now);
+                }
+                false
+            }
+            (false, Some(at)) => self.now >= at + LINGER_MS,
+        };
+        if ready {
+            self.answer_held(id, orders);
+        }
+    }
+
+    fn answer_held(&mut self, id: &str, orders: Vec<Order>) {
+        let Some(token) = self.cache.term() else {
+            return;
+        };
+        let Some(held) = self.held.remove(id) else {
+            return;
+        };
+        for order in &orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    tracing::info!(%task, attempt, machine = id, "start sent");
+                }
+                Order::Stop { task, attempt, .. } => {
+                    tracing::info!(%task, attempt, machine = id, "stop sent");
+                }
+                Order::Forget { .. } => {}
+            }
+        }
+        self.worker(held.request, WorkerReply::Orders { token, orders });
+    }
+
+    pub(crate) fn tick_held(&mut self) {
+        let ids: Vec<String> = self.held.keys().cloned().collect();
+        let state_ok = self.state_ok();
+        for id in ids {
+            let Some(held) = self.held.get(&id) else {
+                continue;
+            };
+            if !state_ok {
+                // Starts that were committed for this answer may go; nothing else.
+                let (request, token) = (held.request, self.cache.term().unwrap_or(0));
+                let reply = self.cut_off_reply(token);
+                self.held.remove(&id);
+                self.worker(request, reply);
+                continue;
+            }
+            if self.now >= held.since + CHECKIN_PATIENCE_MS {
+                let orders = self.orders(held);
+                self.answer_held(&id, orders);
+                continue;
+            }
+            self.advance(&id);
+        }
+    }
+
+    // ---- Machines that fall silent, or idle --------------------------------------------
+
+    /// Milliseconds since any node heard of a machine, as far as is known here. A machine
+    /// that has just come up may have reported to a sibling whose next beat is still to come,
+    /// so its silence counts from when it was first seen up here.
+    fn silence(&self, id: &str) -> Millis {
+        let seen = self.up_since.get(id).copied().unwrap_or(self.now);
+        let own = self.heard.get(id).map_or(seen, |h| h.at.max(seen));
+        let own = self.now - own;
+        self.siblings
+            .values()
+            .flat_map(|s| {
+                let since = self.now - s.at;
+                s.beat
+                    .heard
+                    .iter()
+                    .filter(move |(m, ..)| m == id)
+                    .map(move |(_, _, _, age)| age + since)
+            })
+            .fold(own, Millis::min)
+    }
+
+    fn silence_limit(&self) -> Millis {
+        WORKER_MOVE_MS + self.settings.report_ms * 5 / 4 + SILENCE_SPARE_MS
+    }
+
+    pub(crate) fn recently_heard(&self, id: &str) -> bool {
+        self.silence(id) < self.settings.report_ms * 5 / 2
+    }
+
+    /// Finds machines to delete: silent ones, ones that never came up, idle ones, and ones
+    /// that still hold a cancelled task when its time runs out.
+    pub(crate) fn judge_machines(&mut self) {
+        let first_look = self.now - self.started < self.silence_limit() + self.settings.report_ms;
+        let limit = self.silence_limit() + self.settings.node_index() * NODE_STAGGER_MS;
+        let up = |m: &MachineRecord| matches!(m.phase, MachinePhase::Up | MachinePhase::Draining);
+        let mut ups = 0;
+        let mut condemned: Vec<(String, &'static str)> = Vec::new();
+        let stuck_after = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
+        for (id, m, _) in self.cache.machines() {
+            let since = *self
+                .seen_since
+                .entry(Key::Machine(id.to_string()))
+                .or_insert(self.now);
+            if up(m) {
+                self.up_since.entry(id.to_string()).or_insert(self.now);
+                ups += 1;
+                let stuck = m.bookings.iter().any(|b| {
+                    self.cache.job(&b.job).is_some_and(|j| {
+                        j.phase == Phase::Cancelled
+                            && self.wall > j.ended + self.settings.clock_off_ms + stuck_after
+                    })
+                });
+                if stuck {
+                    condemned.push((id.to_string(), "it still holds a cancelled task"));
+                }
+                if m.bookings.is_empty() {
+                    let idle = *self.idle_since.entry(id.to_string()).or_insert(self.now);
+                    let keep = match m.phase {
+                        MachinePhase::Draining => 0,
+                        _ => {
+                            self.settings.idle_return_ms
+                                + self.settings.node_index() * NODE_STAGGER_MS
+                        }
+                    };
+                    if self.now - idle > keep {
+                        condemned.push((id.to_string(), "nothing to do"));
+                    }
+                } else {
+                    self.idle_since.remove(id);
+                }
+            }
+            if m.phase == MachinePhase::Booting {
+                let boot_s = self.types.get(&m.type_name).map_or(60.0, |t| t.boot_s);
+                let patience = (boot_s * 1000.0 * BOOT_GIVE_UP) as u64 + BOOT_SPARE_MS;
+                if self.now - since > patience {
+                    condemned.push((id.to_string(), "it never came up"));
+                }
+            }
+        }
+        let silent: Vec<(String, Millis)> = self
+            .cache
+            .machines()
+            .filter(|(id, m, _)| up(m) && self.silence(id) > limit)
+            .map(|(id, _, _)| (id.to_string(), self.silence(id)))
+            .collect();
+        let doubt = if silent.len() * 2 > ups && ups > 2 {
+            SILENCE_DOUBT
+        } else {
+            1
+        };
+        if !first_look {
+            for (id, silence) in silent {
+                if silence > limit * doubt {
+                    condemned.push((id, "silent"));
+                }
+            }
+        }
+        for (id, why) in condemned {
+            self.condemn(&id, why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/model.rs
@@ -0,0 +1,262 @@
+//! Words of the field: jobs, tasks, machines, types, reports, orders.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Steady milliseconds since the process began.
+pub type Millis = u64;
+/// Milliseconds of the time of day. Differs between nodes by up to `clock_off_ms`.
+pub type WallMs = u64;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    Array,
+    Service,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rank {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+/// An amount of a machine in thousandths, so that sums stay exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Room {
+    #[serde(rename = "c")]
+    pub cpus: u64,
+    #[serde(rename = "g", default)]
+    pub gpus: u64,
+    #[serde(rename = "r")]
+    pub ram: u64,
+}
+
+/// A need in thousandths, rounded up.
+pub fn need_milli(x: f64) -> u64 {
+    (x * 1000.0 - 1e-6).ceil().max(0.0) as u64
+}
+
+/// A capacity or limit in thousandths, rounded down.
+pub fn have_milli(x: f64) -> u64 {
+    (x * 1000.0 + 1e-6).floor().max(0.0) as u64
+}
+
+impl Room {
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cpus <= self.cpus && need.gpus <= self.gpus && need.ram <= self.ram
+    }
+    pub fn less(&self, need: &Room) -> Room {
+        Room {
+            cpus: self.cpus.saturating_sub(need.cpus),
+            gpus: self.gpus.saturating_sub(need.gpus),
+            ram: self.ram.saturating_sub(need.ram),
+        }
+    }
+    pub fn plus(&self, more: &Room) -> Room {
+        Room {
+            cpus: self.cpus.saturating_add(more.cpus),
+            gpus: self.gpus.saturating_add(more.gpus),
+            ram: self.ram.saturating_add(more.ram),
+        }
+    }
+    /// How many tasks of this need fit.
+    pub fn count(&self, need: &Room) -> u64 {
+        let part = |have: u64, want: u64| have.checked_div(want).unwrap_or(u64::MAX);
+        part(self.cpus, need.cpus)
+            .min(part(self.gpus, need.gpus))
+            .min(part(self.ram, need.ram))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub id: String,
+    pub class: String,
+    pub team: String,
+    pub shape: Shape,
+    pub rank: Rank,
+    pub tasks: u32,
+    pub need: Room,
+    pub image: String,
+    pub image_gb: f64,
+    pub types: Option<Vec<String>>,
+    pub zone: Option<String>,
+    pub together: bool,
+    pub scatter: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+impl JobSpec {
+    pub fn allows(&self, type_name: &str, zone: &str, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self.zone.as_deref().is_none_or(|z| z == zone)
+            && self
+                .types
+                .as_ref()
+                .is_none_or(|t| t.iter().any(|t| t == type_name))
+    }
+    /// Most tasks that may be in one zone.
+    pub fn zone_cap(&self) -> u32 {
+        if self.scatter {
+            self.tasks.div_ceil(2)
+        } else {
+            self.tasks
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct MachineType {
+    pub name: String,
+    pub room: Room,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub zones: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    pub name: String,
+    pub cpus: u64,
+    pub cpus_max: u64,
+    pub gpus: u64,
+    pub gpus_max: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub node: String,
+    /// Names of all nodes, this one included, in order.
+    pub nodes: Vec<String>,
+    pub zones: Vec<String>,
+    pub teams: BTreeMap<String, Team>,
+    pub report_ms: u64,
+    pub lease_ms: u64,
+    pub cancel_ms: u64,
+    pub value_bytes: u64,
+    pub txn_ops: usize,
+    pub clock_off_ms: u64,
+    pub hold_ms: u64,
+    pub idle_return_ms: u64,
+}
+
+impl Settings {
+    pub fn node_index(&self) -> u64 {
+        self.nodes.iter().position(|n| *n == self.node).unwrap_or(0) as u64
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskPhase {
+    Fetching,
+    Running,
+    Saving,
+    Exited(Cause),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    Done,
+    Stopped,
+    Error,
+    NoRoom,
+    Busy,
+    Unknown,
+    Other,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    pub job: String,
+    pub index: u32,
+}
+
+impl TaskId {
+    pub fn parse(s: &str) -> Option<TaskId> {
+        let (job, index) = s.rsplit_once('/')?;
+        Some(TaskId {
+            job: job.to_string(),
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl std::fmt::Display for TaskId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskReport {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub phase: TaskPhase,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    pub machine: String,
+    pub address: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub tally: u64,
+    pub token: u64,
+    pub notice_s: Option<f64>,
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Start {
+        task: TaskId,
+        attempt: u64,
+    },
+    Stop {
+        task: TaskId,
+        attempt: u64,
+        grace_s: f64,
+    },
+    Forget {
+        task: TaskId,
+        attempt: u64,
+    },
+}
+
+/// What a user is told about a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobState {
+    Queued,
+    Running,
+    Done,
+    Cancelled,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostState {
+    Booting,
+    Running,
+    Failed,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    pub name: String,
+    pub address: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub state: HostState,
+    pub age_s: f64,
+}
--- /dev/null
+++ b/crates/glenmount/src/main.rs
@@ -0,0 +1,222 @@
+//! glenmount: a cluster scheduler. One process per controller node; see README.md.
+
+mod budget;
+mod cloud;
+mod http;
+mod peer;
+mod server;
+mod settings;
+mod state;
+mod wire;
+
+use clap::Parser;
+use glenmount_core::node::{Beat, Effect, Event, Node};
+use server::{Call, Door, Reached};
+use settings::Config;
+use std::collections::hash_map::RandomState;
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{interval, Duration, Instant, MissedTickBehavior};
+
+/// Period of the core's clock: held check-ins are answered with this precision.
+const TICK: Duration = Duration::from_millis(50);
+/// Messages that may wait for the core's actor.
+const MAILBOX: usize = 4_096;
+
+/// A cluster scheduler without disks: every controller places work from shared records.
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// The platform's settings file (TOML)
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (XML); every one of them has a default
+    #[arg(long, value_name = "FILE")]
+    operator_settings: Option<PathBuf>,
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+fn read(path: &PathBuf) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn load(args: &Args) -> Result<Config, String> {
+    let operator = match &args.operator_settings {
+        Some(path) => settings::operator(&read(path)?)?,
+        None => settings::Operator::default(),
+    };
+    settings::config(&read(&args.config)?, &operator)
+        .map_err(|e| format!("{}: {e}", args.config.display()))
+}
+
+fn log_level() -> Result<tracing::level_filters::LevelFilter, String> {
+    use tracing::level_filters::LevelFilter;
+    match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("error") => Ok(LevelFilter::ERROR),
+        Ok("info") | Err(_) => Ok(LevelFilter::INFO),
+        Ok("debug") => Ok(LevelFilter::DEBUG),
+        Ok(other) => Err(format!(
+            "LOG_LEVEL: must be error, info or debug, not {other:?}"
+        )),
+    }
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let started = log_level().and_then(|level| Ok((level, load(&args)?)));
+    let (level, config) = match started {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("glenmount: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_target(false)
+        .without_time()
+        .init();
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("glenmount: can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    match local.block_on(&runtime, run(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(error, "ended");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Starts the actors and runs the core's until the process is ended.
+async fn run(config: Config) -> Result<(), String> {
+    let (events_in, mut events) = mpsc::channel::<Event>(MAILBOX);
+    let (calls_in, mut calls) = mpsc::channel::<Call>(config.sockets as usize);
+    let ready = Arc::new(AtomicBool::new(false));
+
+    let listen = |field: &'static str, addr| async move {
+        tokio::net::TcpListener::bind(addr)
+            .await
+            .map_err(|e| format!("{field}: can't listen on {addr}: {e}"))
+    };
+    let cluster = listen("cluster_listen", config.cluster_listen).await?;
+    peer::listen(cluster, events_in.clone());
+    let (beat_in, beats) = watch::channel(Beat::default());
+    for (_, addr) in &config.siblings {
+        peer::tell(*addr, beats.clone());
+    }
+
+    let door = Door {
+        calls: calls_in,
+        ready: ready.clone(),
+    };
+    let (_, server) = warp::serve(server::routes(door))
+        .try_bind_ephemeral(config.client_listen)
+        .map_err(|e| {
+            format!(
+                "client_listen: can't listen on {}: {e}",
+                config.client_listen
+            )
+        })?;
+    tokio::task::spawn_local(server);
+
+    let state = state::client(
+        state::connection(config.state),
+        config.state_rps,
+        config.state_write_rps,
+        events_in.clone(),
+    );
+    let changes = state::watch(state::connection(config.state), events_in.clone());
+    let cloud = cloud::client(
+        cloud::connection(config.cloud),
+        config.cloud_rps,
+        events_in.clone(),
+    );
+
+    let begun = Instant::now();
+    let seed = RandomState::new().build_hasher().finish();
+    let node_name = config.core.node.clone();
+    let mut node = Node::new(config.core, seed, 0, wall_ms());
+    let mut answers: HashMap<u64, oneshot::Sender<Reached>> = HashMap::new();
+    let mut tick = interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    tracing::info!(
+        node = node_name,
+        version = env!("CARGO_PKG_VERSION"),
+        "started"
+    );
+    loop {
+        let event = tokio::select! {
+            _ = tick.tick() => Event::Tick,
+            Some(event) = events.recv() => event,
+            Some(call) = calls.recv() => {
+                answers.insert(call.request, call.answer);
+                call.event
+            }
+        };
+        let now = begun.elapsed().as_millis() as u64;
+        for effect in node.handle(now, wall_ms(), event) {
+            match effect {
+                Effect::User { request, reply } => {
+                    if let Some(answer) = answers.remove(&request) {
+                        let _ = answer.send(Reached::User(reply));
+                    }
+                }
+                Effect::Worker { request, reply } => {
+                    if let Some(answer) = answers.remove(&request) {
+                        let _ = answer.send(Reached::Worker(reply));
+                    }
+                }
+                Effect::State {
+                    token,
+                    op,
+                    priority,
+                } => {
+                    let job = state::Job {
+                        token,
+                        op,
+                        priority,
+                    };
+                    if state.try_send(job).is_err() {
+                        let answer = glenmount_core::node::StateAnswer::Unavailable;
+                        let _ = events_in.try_send(Event::State { token, answer });
+                    }
+                }
+                Effect::Cloud { token, op } => {
+                    if cloud.try_send((token, op)).is_err() {
+                        let answer = glenmount_core::node::CloudAnswer::Failed;
+                        let _ = events_in.try_send(Event::Cloud { token, answer });
+                    }
+                }
+                Effect::Watch { since } => {
+                    let _ = changes.try_send(since);
+                }
+                Effect::Beat(beat) => {
+                    let _ = beat_in.send(beat);
+                }
+            }
+        }
+        ready.store(node.ready(), Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/glenmount/src/settings.rs
@@ -0,0 +1,346 @@
+//! The platform's settings file (TOML) and the operators' own (XML), checked on reading.
+
+use glenmount_core::constants::*;
+use glenmount_core::model::{have_milli, Settings, Team};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+#[derive(Debug, Deserialize)]
+struct File {
+    member: String,
+    client_listen: SocketAddr,
+    cluster_listen: SocketAddr,
+    #[serde(default)]
+    siblings: Vec<SiblingFile>,
+    outside: Outside,
+    settings: Params,
+}
+
+#[derive(Debug, Deserialize)]
+struct SiblingFile {
+    member: String,
+    peer_addr: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Outside {
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Params {
+    count: u32,
+    zones: Vec<String>,
+    clock_off_ms: f64,
+    teams: Vec<TeamFile>,
+    workers: Workers,
+    state: StateLimits,
+    cloud: CloudLimits,
+    quota: Quota,
+}
+
+#[derive(Debug, Deserialize)]
+struct TeamFile {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct StateLimits {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: u32,
+}
+
+#[derive(Debug, Deserialize)]
+struct CloudLimits {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Quota {
+    sockets: u32,
+}
+
+/// Operators' own settings. Every one has a default; see `deploy/operator-settings.xml`.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, rename = "operator-settings")]
+pub struct Operator {
+    #[serde(rename = "idle-return-s")]
+    idle_return_s: Option<f64>,
+    #[serde(rename = "hold-s")]
+    hold_s: Option<f64>,
+}
+
+/// All that the program needs to know to run.
+#[derive(Debug)]
+pub struct Config {
+    pub core: Settings,
+    pub client_listen: SocketAddr,
+    pub cluster_listen: SocketAddr,
+    /// Other nodes' names and addresses.
+    pub siblings: Vec<(String, SocketAddr)>,
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+    /// This node's shares of the services' budgets, per second.
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub cloud_rps: f64,
+    pub sockets: u32,
+}
+
+fn check(ok: bool, field: &str, rule: &str) -> Result<(), String> {
+    if ok {
+        Ok(())
+    } else {
+        Err(format!("{field}: {rule}"))
+    }
+}
+
+fn seconds(field: &str, value: f64, least: f64) -> Result<u64, String> {
+    check(
+        value.is_finite() && value >= least && value <= 86_400.0,
+        field,
+        &format!("must be between {least} and 86400 seconds, not {value}"),
+    )?;
+    Ok((value * 1000.0).round() as u64)
+}
+
+fn amount(field: &str, value: f64) -> Result<u64, String> {
+    check(
+        value.is_finite() && (0.0..=1e9).contains(&value),
+        field,
+        &format!("must be between 0 and 1e9, not {value}"),
+    )?;
+    Ok(have_milli(value))
+}
+
+fn rate(field: &str, value: f64) -> Result<f64, String> {
+    check(
+        value.is_finite() && (0.1..=1e6).contains(&value),
+        field,
+        &format!("must be between 0.1 and 1e6 a second, not {value}"),
+    )?;
+    Ok(value)
+}
+
+pub fn operator(xml: &str) -> Result<Operator, String> {
+    quick_xml::de::from_str(xml).map_err(|e| format!("operator settings: {e}"))
+}
+
+pub fn config(text: &str, operator: &Operator) -> Result<Config, String> {
+    let file: File = toml::from_str(text).map_err(|e| e.to_string().replace('\n', " "))?;
+    let p = &file.settings;
+    check(!file.member.is_empty(), "member", "must not be empty")?;
+    check(
+        (1..=64).contains(&p.count),
+        "settings.count",
+        "must be between 1 and 64",
+    )?;
+    check(!p.zones.is_empty(), "settings.zones", "must name a zone")?;
+    let mut nodes: Vec<String> = file.siblings.iter().map(|s| s.member.clone()).collect();
+    check(
+        !nodes.contains(&file.member),
+        "siblings.member",
+        "must not name this node itself",
+    )?;
+    nodes.push(file.member.clone());
+    nodes.sort();
+    nodes.dedup();
+    check(
+        nodes.len() == p.count as usize,
+        "siblings",
+        "must name settings.count - 1 different nodes",
+    )?;
+    let mut teams = BTreeMap::new();
+    for t in &p.teams {
+        let field = |f: &str| format!("settings.teams.{}.{f}", t.name);
+        check(
+            !t.name.is_empty(),
+            "settings.teams.name",
+            "must not be empty",
+        )?;
+        let team = Team {
+            name: t.name.clone(),
+            cpus: amount(&field("cpus"), t.cpus)?,
+            cpus_max: amount(&field("cpus_max"), t.cpus_max)?,
+            gpus: amount(&field("gpus"), t.gpus)?,
+            gpus_max: amount(&field("gpus_max"), t.gpus_max)?,
+        };
+        check(
+            teams.insert(t.name.clone(), team).is_none(),
+            "settings.teams.name",
+            &format!("{} appears twice", t.name),
+        )?;
+    }
+    let report_ms = seconds("settings.workers.report_s", p.workers.report_s, 0.1)?;
+    let lease_ms = seconds("settings.workers.lease_s", p.workers.lease_s, 1.0)?;
+    let cancel_ms = seconds("settings.workers.cancel_s", p.workers.cancel_s, 1.0)?;
+    check(
+        lease_ms > report_ms,
+        "settings.workers.lease_s",
+        "must be longer than report_s",
+    )?;
+    check(
+        p.clock_off_ms.is_finite() && (0.0..=3.6e6).contains(&p.clock_off_ms),
+        "settings.clock_off_ms",
+        "must be between 0 and 3600000",
+    )?;
+    check(
+        p.state.txn_ops >= 6,
+        "settings.state.txn_ops",
+        "must be at least 6: a claim writes four records",
+    )?;
+    check(
+        p.state.value_kb.is_finite() && (4.0..=1024.0).contains(&p.state.value_kb),
+        "settings.state.value_kb",
+        "must be between 4 and 1024",
+    )?;
+    check(
+        p.quota.sockets >= 32,
+        "settings.quota.sockets",
+        "must be at least 32",
+    )?;
+    seconds("settings.cloud.list_lag_s", p.cloud.list_lag_s, 0.0)?;
+    // An answer must come well before the worker's own limit and before a third of its lease.
+    let hold_limit = HOLD_MAX_MS.min(lease_ms / 3);
+    let hold_ms = match operator.hold_s {
+        Some(s) => seconds("operator-settings.hold-s", s, 0.0)?.min(hold_limit),
+        None => ((report_ms as f64 * HOLD_SHARE) as u64).min(hold_limit),
+    };
+    let idle_return_ms = match operator.idle_return_s {
+        Some(s) => seconds("operator-settings.idle-return-s", s, 1.0)?,
+        None => IDLE_RETURN_MS,
+    };
+    let share = 1.0 / p.count as f64;
+    Ok(Config {
+        core: Settings {
+            node: file.member,
+            nodes,
+            zones: p.zones.clone(),
+            teams,
+            report_ms,
+            lease_ms,
+            cancel_ms,
+            value_bytes: (p.state.value_kb * 1024.0) as u64,
+            txn_ops: p.state.txn_ops as usize,
+            clock_off_ms: p.clock_off_ms as u64,
+            hold_ms,
+            idle_return_ms,
+        },
+        client_listen: file.client_listen,
+        cluster_listen: file.cluster_listen,
+        siblings: file
+            .siblings
+            .into_iter()
+            .map(|s| (s.member, s.peer_addr))
+            .collect(),
+        cloud: file.outside.cloud,
+        state: file.outside.state,
+        state_rps: rate("settings.state.rps", p.state.rps)? * share,
+        state_write_rps: rate("settings.state.write_rps", p.state.write_rps)? * share,
+        cloud_rps: rate("settings.cloud.rps", p.cloud.rps)? * share,
+        sockets: p.quota.sockets,
+    })
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+        member = "a-0"
+        location = "z1"
+        client_listen = "127.0.0.1:8080"
+        cluster_listen = "127.0.0.1:8081"
+        unheard_of = 3
+        [[siblings]]
+        member = "a-1"
+        peer_addr = "127.0.0.2:8081"
+        [outside]
+        cloud = "127.0.0.3:1"
+        state = "127.0.0.3:2"
+        [settings]
+        count = 2
+        zones = ["z1"]
+        clock_off_ms = 5.0
+        [[settings.teams]]
+        name = "t"
+        cpus = 2.0
+        cpus_max = 4.0
+        [settings.workers]
+        report_s = 2.0
+        lease_s = 12.0
+        cancel_s = 40.0
+        [settings.state]
+        rps = 100.0
+        write_rps = 40.0
+        value_kb = 8.0
+        txn_ops = 16
+        [settings.cloud]
+        rps = 4.0
+        list_lag_s = 4.0
+        [settings.quota]
+        cpu_share = 0.5
+        ram_mb = 64.0
+        sockets = 100
+    "#;
+
+    #[test]
+    fn reads_settings_and_ignores_unknown_fields() {
+        let c = config(SAMPLE, &Operator::default()).unwrap();
+        assert_eq!(c.core.nodes, ["a-0", "a-1"]);
+        assert_eq!(c.core.teams["t"].cpus_max, 4000);
+        assert_eq!(c.state_rps, 50.0);
+        assert_eq!(c.core.hold_ms, 1600);
+    }
+
+    #[test]
+    fn names_the_field_that_is_missing_or_absurd() {
+        let cases = [
+            ("rps = 100.0", "", "rps"),
+            ("lease_s = 12.0", "lease_s = -1.0", "lease_s"),
+            ("count = 2", "count = 3", "siblings"),
+            ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
+            (
+                "cpus_max = 4.0",
+                "cpus_max = nan",
+                "settings.teams.t.cpus_max",
+            ),
+        ];
+        for (from, to, field) in cases {
+            let error = config(&SAMPLE.replace(from, to), &Operator::default()).unwrap_err();
+            assert!(error.contains(field), "{error}");
+            assert!(!error.contains('\n'));
+        }
+    }
+
+    #[test]
+    fn operators_settings_are_xml_and_checked() {
+        let xml = "<operator-settings><idle-return-s>90</idle-return-s></operator-settings>";
+        let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
+        assert_eq!(c.core.idle_return_ms, 90_000);
+        let xml = "<operator-settings><hold-s>-1</hold-s></operator-settings>";
+        let error = config(SAMPLE, &operator(xml).unwrap()).unwrap_err();
+        assert!(error.contains("hold-s"), "{error}");
+        assert!(operator("<operator-settings><hold-s>x</hold-s></operator-settings>").is_err());
+    }
+}
--- /dev/null
+++ b/crates/glenmount/src/state.rs
@@ -0,0 +1,333 @@
+//! The state-service client: one actor that owns the node's share of the service's rates and
+//! ranks its work, and one that follows the watch.
+
+use crate::budget::Budget;
+use crate::http::Http;
+use glenmount_core::constants::*;
+use glenmount_core::node::{Event, Priority, StateAnswer, StateOp, Token};
+use glenmount_core::records::{Key, Record, Txn, PREFIX};
+use hyper::Method;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, Duration};
+
+/// Time an answer may take: usually 10 ms, now and then a few hundred.
+const TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time to set up a connection on a network of a few milliseconds.
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// Requests on their way at once: keeps connections few.
+const IN_FLIGHT: usize = 12;
+/// Items per page of a list: a page stays well under 512 KiB.
+const PAGE: u32 = 200;
+/// Bytes of an answer at most.
+const ANSWER_BYTES: usize = 8 << 20;
+/// Pause after a 429.
+const TOO_MANY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause between two tries to open the watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// Requests that may wait in line; more get `Unavailable` at once.
+const LINE: usize = 4_000;
+
+pub struct Job {
+    pub token: Token,
+    pub op: StateOp,
+    pub priority: Priority,
+}
+
+enum Message {
+    Do(Job),
+    Finished,
+    TooMany(Job),
+}
+
+fn txn_body(txn: &Txn) -> String {
+    let conditions: Vec<Value> = txn
+        .conditions
+        .iter()
+        .map(|(k, stamp)| json!({"k": k.path(), "stamp": stamp}))
+        .collect();
+    let changes: Vec<Value> = txn
+        .changes
+        .iter()
+        .map(|(k, record)| match record {
+            Some(r) => json!({"put": k.path(), "v": r.value()}),
+            None => json!({"remove": k.path()}),
+        })
+        .collect();
+    json!({"if": conditions, "apply": changes}).to_string()
+}
+
+#[derive(Deserialize)]
+struct EpochBody {
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    items: Vec<Item>,
+    #[serde(default)]
+    more: bool,
+    epoch: u64,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    k: String,
+    v: Value,
+    stamp: u64,
+}
+
+fn epoch(body: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<EpochBody>(body)
+        .ok()
+        .map(|b| b.epoch)
+}
+
+/// `None` stands for 429: not executed, to be sent again.
+async fn execute(http: &Http, op: &StateOp) -> Option<StateAnswer> {
+    let answer = match op {
+        StateOp::Txn(txn) => {
+            http.call(
+                Method::POST,
+                "/txn",
+                Some(txn_body(txn)),
+                TIMEOUT,
+                ANSWER_BYTES,
+            )
+            .await
+        }
+        StateOp::Proof => {
+            // A key that never exists: its 404 tells the revision.
+            http.call(Method::GET, "/keys/g/none", None, TIMEOUT, ANSWER_BYTES)
+                .await
+        }
+        StateOp::List { after } => {
+            let since = after
+                .as_ref()
+                .map_or(String::new(), |a| format!("&since={a}"));
+            let path = format!("/keys?under={PREFIX}{since}&most={PAGE}");
+            http.call(Method::GET, &path, None, TIMEOUT * 3, ANSWER_BYTES)
+                .await
+        }
+    };
+    let Some((status, body)) = answer else {
+        return Some(StateAnswer::NoAnswer);
+    };
+    let parsed = match (op, status) {
+        (_, 429) => return None,
+        (_, 503) => return Some(StateAnswer::Unavailable),
+        (StateOp::Txn(_), 200) => epoch(&body).map(|epoch| StateAnswer::Committed { epoch }),
+        (StateOp::Txn(_), 409) => epoch(&body).map(|epoch| StateAnswer::Conflict { epoch }),
+        (StateOp::Proof, 404) => epoch(&body).map(|epoch| StateAnswer::Proof { epoch }),
+        (StateOp::List { .. }, 200) => serde_json::from_slice::<ListBody>(&body).ok().map(|list| {
+            let last = list.items.last().map(|i| i.k.clone());
+            let items = list
+                .items
+                .into_iter()
+                .filter_map(|i| {
+                    let key = Key::parse(&i.k)?;
+                    let record = Record::read(&key, i.v)?;
+                    Some((key, i.stamp, record))
+                })
+                .collect();
+            StateAnswer::Listed {
+                items,
+                last,
+                more: list.more,
+                epoch: list.epoch,
+            }
+        }),
+        (_, 400) => Some(StateAnswer::Refused),
+        _ => None,
+    };
+    if parsed.is_none() || parsed == Some(StateAnswer::Refused) {
+        tracing::error!(status, body = %String::from_utf8_lossy(&body[..body.len().min(200)]),
+            "unexpected answer of the state service");
+    }
+    Some(parsed.unwrap_or(StateAnswer::NoAnswer))
+}
+
+fn cost(op: &StateOp) -> f64 {
+    match op {
+        StateOp::Txn(txn) => txn.changes.len() as f64,
+        _ => 0.0,
+    }
+}
+
+/// Starts the actor; work is sent to the returned channel, outcomes go to the core.
+pub fn client(
+    http: Http,
+    rps: f64,
+    write_rps: f64,
+    core: mpsc::Sender<Event>,
+) -> mpsc::Sender<Job> {
+    let (jobs_in, mut jobs) = mpsc::channel::<Job>(LINE);
+    let (inner_in, mut inner) = mpsc::unbounded_channel::<Message>();
+    let forward = inner_in.clone();
+    tokio::task::spawn_local(async move {
+        while let Some(job) = jobs.recv().await {
+            if forward.send(Message::Do(job)).is_err() {
+                break;
+            }
+        }
+    });
+    tokio::task::spawn_local(async move {
+        let http = Rc::new(http);
+        let mut requests = Budget::new(rps, 0.9);
+        let mut writes = Budget::new(write_rps, 0.9);
+        let mut lines: [VecDeque<Job>; 4] = Default::default();
+        let mut in_flight = 0;
+        let mut wait = Duration::ZERO;
+        loop {
+            let message = if wait.is_zero() {
+                inner.recv().await
+            } else {
+                tokio::select! {
+                    m = inner.recv() => m,
+                    _ = sleep(wait) => Some(Message::Do(Job {
+                        token: 0, op: StateOp::Proof, priority: Priority::Housekeeping })),
+                }
+            };
+            match message {
+                None => return,
+                // Token 0 only wakes the actor.
+                Some(Message::Do(job)) if job.token == 0 => {}
+                Some(Message::Do(job)) => {
+                    let line = &mut lines[job.priority as usize];
+                    if line.len() >= LINE {
+                        let event = Event::State {
+                            token: job.token,
+                            answer: StateAnswer::Unavailable,
+                        };
+                        let _ = core.send(event).await;
+                    } else {
+                        line.push_back(job);
+                    }
+                }
+                Some(Message::Finished) => in_flight -= 1,
+                Some(Message::TooMany(job)) => {
+                    in_flight -= 1;
+                    requests.drain();
+                    writes.drain();
+                    lines[job.priority as usize].push_front(job);
+                }
+            }
+            wait = Duration::ZERO;
+            while in_flight < IN_FLIGHT {
+                let Some(line) = lines.iter_mut().find(|l| !l.is_empty()) else {
+                    break;
+                };
+                let puts = line.front().map_or(0.0, |j| cost(&j.op));
+                let pause = requests.wait(1.0).max(writes.wait(puts));
+                if !pause.is_zero() {
+                    wait = pause.max(Duration::from_millis(1));
+                    break;
+                }
+                let Some(job) = line.pop_front() else { break };
+                requests.take(1.0);
+                writes.take(puts);
+                in_flight += 1;
+                let (http, core, inner_in) = (http.clone(), core.clone(), inner_in.clone());
+                tokio::task::spawn_local(async move {
+                    match execute(&http, &job.op).await {
+                        Some(answer) => {
+                            let token = job.token;
+                            let _ = core.send(Event::State { token, answer }).await;
+                            let _ = inner_in.send(Message::Finished);
+                        }
+                        None => {
+                            sleep(TOO_MANY_PAUSE).await;
+                            let _ = inner_in.send(Message::TooMany(job));
+                        }
+                    }
+                });
+            }
+        }
+    });
+    jobs_in
+}
+
+#[derive(Deserialize)]
+struct WatchBody {
+    epoch: u64,
+    #[serde(default)]
+    news: Vec<News>,
+}
+
+#[derive(Deserialize)]
+struct News {
+    put: Option<String>,
+    remove: Option<String>,
+    v: Option<Value>,
+    stamp: u64,
+}
+
+/// Follows all changes; a revision sent to the returned channel opens the watch anew.
+pub fn watch(http: Http, core: mpsc::Sender<Event>) -> mpsc::Sender<u64> {
+    let (restart_in, mut restart) = mpsc::channel::<u64>(16);
+    tokio::task::spawn_local(async move {
+        let Some(mut since) = restart.recv().await else {
+            return;
+        };
+        loop {
+            let path = format!("/watch?under={PREFIX}&since={since}&holdMs={WATCH_HOLD_MS}");
+            let timeout = Duration::from_millis(WATCH_HOLD_MS) + Duration::from_secs(60);
+            let call = http.call(Method::GET, &path, None, timeout, ANSWER_BYTES);
+            let answer = tokio::select! {
+                answer = call => answer,
+                new = restart.recv() => {
+                    match new {
+                        Some(epoch) => since = epoch,
+                        None => return,
+                    }
+                    continue;
+                }
+            };
+            match answer {
+                Some((200, body)) => match serde_json::from_slice::<WatchBody>(&body) {
+                    Ok(body) => {
+                        since = since.max(body.epoch);
+                        let changes = body.news.into_iter().filter_map(change).collect();
+                        let event = Event::Watched {
+                            epoch: body.epoch,
+                            changes,
+                        };
+                        if core.send(event).await.is_err() {
+                            return;
+                        }
+                    }
+                    Err(error) => {
+                        tracing::error!(%error, "unreadable changes");
+                        sleep(WATCH_PAUSE).await;
+                    }
+                },
+                Some((410, _)) => {
+                    let _ = core.send(Event::WatchGap).await;
+                    match restart.recv().await {
+                        Some(epoch) => since = epoch,
+                        None => return,
+                    }
+                }
+                _ => sleep(WATCH_PAUSE).await,
+            }
+        }
+    });
+    restart_in
+}
+
+fn change(news: News) -> Option<(Key, u64, Option<Record>)> {
+    if let Some(path) = news.put {
+        let key = Key::parse(&path)?;
+        let record = Record::read(&key, news.v?)?;
+        Some((key, news.stamp, Some(record)))
+    } else {
+        Some((Key::parse(&news.remove?)?, news.stamp, None))
+    }
+}
+
+pub fn connection(addr: std::net::SocketAddr) -> Http {
+    Http::new(addr, CONNECT)
+}
