One transaction on bookings at a time per node, after the watch caught up

Cause: each held check-in sent its own transaction; several of one node changed the same team's record, lost to one another, and retried before the watch had brought the change.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -43,6 +43,8 @@
 pub const STATE_LOST_MS: u64 = 1_500;
 /// Milliseconds between heartbeat reads of the state service when nothing else is read.
 pub const STATE_BEAT_MS: u64 = 500;
+/// Most, in milliseconds, that a lost transaction waits for the watch before its next try.
+pub const CONFLICT_PAUSE_MS: u64 = 400;
 /// Milliseconds that the watch may trail a proven revision before it is opened anew.
 pub const WATCH_TRAIL_MS: u64 = 1_000;
 /// Milliseconds a watch is held open by the state service.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -17,8 +17,6 @@
     pub since: Millis,
     /// A transaction for this check-in is on its way.
     pub busy: bool,
-    /// Tries that ended in a conflict.
-    pub tries: u32,
     /// Since when orders that may wait for company are ready.
     pub ready_since: Option<Millis>,
 }
@@ -86,11 +84,10 @@
                 report,
                 since: self.now,
                 busy: false,
-                tries: 0,
                 ready_since: None,
             },
         );
-        self.advance(&id);
+        self.changed = true;
     }
 
     fn worker(&mut self, request: RequestId, reply: WorkerReply) {
@@ -119,45 +116,64 @@
         }
     }
 
+    /// Does what the held check-ins call for next: one transaction for as many of them as
+    /// fit, or their answers, or waiting on.
+    ///
+    /// One such transaction is on its way at a time: two of one node would often change the
+    /// same team's record, and the loser would have cost budget for nothing.
     pub(crate) fn advance_held(&mut self) {
+        if self.may_write() {
+            let mut draft = Draft::new(&self.cache);
+            let mut machines = Vec::new();
+            let mut held: Vec<&Held> = self
+                .held
+                .values()
+                .filter(|h| !self.busy_machines.contains(&h.report.machine))
+                .collect();
+            held.sort_by_key(|h| h.since);
+            for h in held {
+                let mark = draft.save();
+                self.reconcile(h, &mut draft);
+                if !draft.within(self.settings.txn_ops) || draft.bytes() > TXN_BYTES {
+                    draft.restore(mark);
+                    break;
+                }
+                let id = &h.report.machine;
+                if draft.touches(&Key::Machine(id.clone())) {
+                    machines.push(id.clone());
+                } else {
+                    // Only read: no reason to make its record a condition.
+                    draft.restore(mark);
+                }
+            }
+            if !draft.is_empty() {
+                let txn = draft.finish();
+                for id in &machines {
+                    if let Some(held) = self.held.get_mut(id) {
+                        held.busy = true;
+                    }
+                }
+                self.writing = true;
+                self.commit(txn, Purpose::Reconcile(machines), Priority::Result);
+            }
+        }
         let ids: Vec<String> = self.held.keys().cloned().collect();
         for id in ids {
-            self.advance(&id);
-        }
-    }
-
-    /// Does what the held check-in of a machine calls for next: a transaction, the answer,
-    /// or waiting on.
-    fn advance(&mut self, id: &str) {
-        let Some(held) = self.held.get(id) else {
-            return;
-        };
-        if held.busy {
-            return;
-        }
-        if held.tries < 20 && !self.busy_machines.contains(id) {
-            let txn = self.reconcile(held);
-            if !txn.changes.is_empty() {
-                if let Some(held) = self.held.get_mut(id) {
-                    held.busy = true;
-                }
-                self.commit(txn, Purpose::Machine(id.to_string()), Priority::Result);
-                return;
+            if self.held.get(&id).is_some_and(|h| !h.busy) {
+                self.try_answer(&id);
             }
         }
-        self.try_answer(id);
     }
 
     /// The changes of the records that a check-in gives reason for.
-    fn reconcile(&self, held: &Held) -> Txn {
+    fn reconcile(&self, held: &Held, draft: &mut Draft) {
         let report = &held.report;
         let id = &report.machine;
         let mark = held.mark();
         let wall = self.wall;
-        let mut draft = Draft::new(&self.cache);
         let Some(record) = self.cache.machine(id) else {
             if self.gone.contains(id) {
-                return Txn::default();
+                return;
             }
             let machine = MachineRecord {
                 type_name: report.type_name.clone(),
@@ -171,7 +187,7 @@
                 faults: Vec::new(),
             };
             draft.put(Key::Machine(id.clone()), Record::Machine(machine));
-            return draft.finish();
+            return;
         };
         for b in &record.bookings {
             let task = b.task();
@@ -194,7 +210,7 @@
             };
             let step = draft.save();
             if let Some(outcome) = ended {
-                claims::release(&mut draft, id, &task, b.attempt, outcome, wall);
+                claims::release(draft, id, &task, b.attempt, outcome, wall);
             } else if wanted
                 && held.reported(&task, b.attempt).is_none()
                 && b.armed.is_none_or(|armed| armed < mark)
@@ -218,7 +234,7 @@
             }
         }
         let Some(mut machine) = draft.machine(id) else {
-            return draft.finish();
+            return;
         };
         let before = machine.clone();
         if machine.phase == MachinePhase::Booting {
@@ -233,22 +249,14 @@
         if machine != before {
             draft.put(Key::Machine(id.clone()), Record::Machine(machine));
         }
-        if draft.is_empty() {
-            return Txn::default();
-        }
-        draft.finish()
     }
 
-    pub(crate) fn machine_committed(&mut self, id: &str, committed: bool) {
-        let Some(held) = self.held.get_mut(id) else {
-            return;
-        };
-        held.busy = false;
-        if !committed {
-            // Re-read by way of the watch, then try again.
-            held.tries += 1;
+    pub(crate) fn reconciled(&mut self, machines: Vec<String>, committed: bool) {
+        for id in machines {
+            if let Some(held) = self.held.get_mut(&id) {
+                held.busy = false;
+            }
         }
-        self.changed = true;
         if committed {
             self.lookup_wanted = true;
         }
@@ -320,7 +328,7 @@
         let urgent = orders.iter().any(|o| !matches!(o, Order::Forget { .. }));
         let ready = match (orders.is_empty(), held.ready_since) {
             (true, _) => age >= self.settings.hold_ms,
-            (false, _) if urgent && !self.lookup_busy => true,
+            (false, _) if urgent && !self.writing => true,
             (false, None) => {
                 let now = self.now;
                 if let Some(h) = self.held.get_mut(id) {
@@ -376,8 +384,8 @@
                 self.answer_held(&id, orders);
                 continue;
             }
-            self.advance(&id);
         }
+        self.changed |= !self.held.is_empty();
     }
 
     // ---- Machines that fall silent, or idle --------------------------------------------
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -197,7 +197,7 @@
     Proof,
     Load { round: u64 },
     Ask(RequestId),
-    Machine(String),
+    Reconcile(Vec<String>),
     Lookup(Vec<(TaskId, String)>),
     NewHire(u64),
     Hire(u64),
@@ -274,7 +274,11 @@
     // Lookup
     pub(crate) lookup_wanted: bool,
     lookup_at: Millis,
-    pub(crate) lookup_busy: bool,
+    /// A transaction on bookings is on its way.
+    pub(crate) writing: bool,
+    /// After a lost one: the revision the copy must have reached before the next try, and
+    /// a time after which to try in any case.
+    write_retry: Option<(u64, Millis)>,
     last_beat: Millis,
     last_house: Millis,
 }
@@ -328,7 +332,8 @@
             term_busy: false,
             lookup_wanted: false,
             lookup_at: now,
-            lookup_busy: false,
+            writing: false,
+            write_retry: None,
             last_beat: 0,
             last_house: 0,
         }
@@ -523,6 +528,13 @@
 
     fn watched(&mut self, epoch: u64, changes: Vec<(Key, u64, Option<Record>)>) {
         for (key, stamp, record) in changes {
+            tracing::debug!(
+                ?key,
+                stamp,
+                cached = self.cache.stamp(&key),
+                put = record.is_some(),
+                "news"
+            );
             self.apply(key, stamp, record, false);
         }
         self.cache.epoch = self.cache.epoch.max(epoch);
@@ -606,6 +618,9 @@
                 "transaction was malformed"
             );
         }
+        if txn.is_some() && !committed {
+            tracing::debug!(?purpose, ?answer, "transaction lost");
+        }
         match purpose {
             Purpose::Proof => {
                 self.proof_busy = false;
@@ -631,9 +646,12 @@
                 }
             }
             Purpose::Ask(request) => self.ask_committed(request, committed),
-            Purpose::Machine(id) => self.machine_committed(&id, committed),
+            Purpose::Reconcile(machines) => {
+                self.written(&answer);
+                self.reconciled(machines, committed);
+            }
             Purpose::Lookup(claimed) => {
-                self.lookup_busy = false;
+                self.written(&answer);
                 if committed {
                     for (task, machine) in &claimed {
                         tracing::info!(%task, machine, "claimed");
@@ -643,9 +661,7 @@
                     // Another node won, or the outcome is unknown: look again once the
                     // watch has told what is true.
                     tracing::debug!(tasks = claimed.len(), "claim lost");
-                    let pause = self.rng.gen_range(30..150);
-                    self.lookup_wanted = false;
-                    self.lookup_at = self.lookup_at.min(self.now + pause);
+                    self.lookup_wanted = true;
                 }
             }
             Purpose::NewHire(n) => {
@@ -683,6 +699,30 @@
         }
     }
 
+    /// When to try again what did not commit: once the watch has brought what stood in the
+    /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
+    fn written(&mut self, answer: &StateAnswer) {
+        self.writing = false;
+        self.write_retry = self.retry_after(answer);
+        self.changed = true;
+    }
+
+    /// Whether a transaction on bookings may be sent now.
+    pub(crate) fn may_write(&self) -> bool {
+        !self.writing
+            && self
+                .write_retry
+                .is_none_or(|(epoch, at)| self.cache.epoch >= epoch || self.now >= at)
+    }
+
+    fn retry_after(&self, answer: &StateAnswer) -> Option<(u64, Millis)> {
+        match answer {
+            StateAnswer::Committed { .. } => None,
+            StateAnswer::Conflict { epoch } => Some((*epoch, self.now + CONFLICT_PAUSE_MS)),
+            _ => Some((u64::MAX, self.now + CONFLICT_PAUSE_MS)),
+        }
+    }
+
     // ---- Cloud ---------------------------------------------------------------------
 
     fn cloud_answer(&mut self, token: Token, answer: CloudAnswer) {
@@ -932,7 +972,7 @@
 
     fn look_up(&mut self) {
         let due = self.lookup_wanted || self.now >= self.lookup_at;
-        if !due || self.lookup_busy || !self.state_ok() || !self.settled() || self.types.is_empty()
+        if !due || !self.may_write() || !self.state_ok() || !self.settled() || self.types.is_empty()
         {
             return;
         }
@@ -971,7 +1011,7 @@
         );
         let full = plan.full;
         if !plan.claimed.is_empty() {
-            self.lookup_busy = true;
+            self.writing = true;
             self.commit(plan.txn, Purpose::Lookup(plan.claimed), Priority::Claim);
         }
         if !full {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -533,6 +533,9 @@
     pub fn is_empty(&self) -> bool {
         self.changes.is_empty()
     }
+    pub fn touches(&self, key: &Key) -> bool {
+        self.changes.contains_key(key)
+    }
     pub fn ops(&self) -> usize {
         self.changes.len()
     }
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -23,6 +23,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{interval, Duration, Instant, MissedTickBehavior};
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// Period of the core's clock: held check-ins are answered with this precision.
 const TICK: Duration = Duration::from_millis(50);
@@ -82,13 +84,17 @@
             return ExitCode::from(2);
         }
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Libraries' own chatter is not for operators; their warnings are.
+    let own = tracing_subscriber::filter::Targets::new()
+        .with_default(level.min(tracing::level_filters::LevelFilter::WARN))
+        .with_target("glenmount", level)
+        .with_target("glenmount_core", level);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .with_target(false)
-        .without_time()
-        .init();
+        .without_time();
+    tracing_subscriber::registry().with(lines).with(own).init();
     let runtime = match tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -120,7 +120,10 @@
         (_, 429) => return None,
         (_, 503) => return Some(StateAnswer::Unavailable),
         (StateOp::Txn(_), 200) => epoch(&body).map(|epoch| StateAnswer::Committed { epoch }),
-        (StateOp::Txn(_), 409) => epoch(&body).map(|epoch| StateAnswer::Conflict { epoch }),
+        (StateOp::Txn(_), 409) => {
+            tracing::debug!(answer = %String::from_utf8_lossy(&body[..body.len().min(300)]), "conflict");
+            epoch(&body).map(|epoch| StateAnswer::Conflict { epoch })
+        }
         (StateOp::Proof, 404) => epoch(&body).map(|epoch| StateAnswer::Proof { epoch }),
         (StateOp::List { .. }, 200) => serde_json::from_slice::<ListBody>(&body).ok().map(|list| {
             let last = list.items.last().map(|i| i.k.clone());
