--- /dev/null
+++ b/crates/core/tests/stories.rs
@@ -0,0 +1,609 @@
+//! Short stories of what happens to jobs when things go wrong. The world checks every rule
+//! of the protocol at each step; each story says what must come out of it in the end.
+
+mod world;
+
+use glenmount_core::model::*;
+use glenmount_core::node::*;
+use glenmount_core::records::*;
+use rand::Rng;
+use world::*;
+
+fn settled(seed: u64, nodes: usize, machines: usize) -> World {
+    let mut w = World::new(seed, nodes, machines);
+    w.run(4_000);
+    w
+}
+
+fn done(w: &World, id: &str) -> bool {
+    w.job_phase(id) == Some(Phase::Done)
+}
+
+#[test]
+fn a_job_runs_from_submission_to_done() {
+    let mut w = settled(1, 3, 2);
+    let r = w.submit(0, job("j-1", 4));
+    assert_eq!(w.answer(r), UserReply::Accepted { job: "j-1".into() });
+    w.until(20_000, "done", |w| done(w, "j-1"));
+    w.run(100);
+    for n in 0..3 {
+        let r = w.status(n, "j-1");
+        assert!(matches!(
+            w.answer(r),
+            UserReply::State {
+                state: JobState::Done,
+                done: 4,
+                ..
+            }
+        ));
+    }
+    w.run(3_000);
+    w.check_records();
+    assert!(
+        w.workers.values().all(|w| w.tasks.is_empty()),
+        "forgotten at the workers"
+    );
+}
+
+#[test]
+fn a_repeated_submission_gets_the_current_state_and_runs_once() {
+    let mut w = settled(2, 2, 2);
+    let (a, b) = (w.submit(0, job("j-1", 1)), w.submit(1, job("j-1", 1)));
+    let (a, b) = (w.answer(a), w.answer(b));
+    let fresh = |r: &UserReply| matches!(r, UserReply::Accepted { .. });
+    assert!(fresh(&a) != fresh(&b), "one of them was first: {a:?} {b:?}");
+    w.until(20_000, "done", |w| done(w, "j-1"));
+    let r = w.submit(1, job("j-1", 1));
+    assert!(matches!(
+        w.answer(r),
+        UserReply::State {
+            state: JobState::Done,
+            ..
+        }
+    ));
+    assert_eq!(w.starts, 1);
+}
+
+#[test]
+fn what_can_never_run_is_refused_and_the_unknown_is_not_found() {
+    let mut w = settled(3, 2, 1);
+    let mut unknown_team = job("j-1", 1);
+    unknown_team.team = "green".into();
+    let mut huge = job("j-2", 1);
+    huge.need.cpus = 99_000;
+    let mut over = service("j-3", 7);
+    over.team = "blue".into();
+    for spec in [unknown_team, huge, over] {
+        let r = w.submit(0, spec.clone());
+        assert!(matches!(w.answer(r), UserReply::Never(_)), "{}", spec.id);
+    }
+    let r = w.status(1, "j-9");
+    assert_eq!(w.answer(r), UserReply::NotFound);
+    let r = w.cancel(1, "j-9");
+    assert_eq!(w.answer(r), UserReply::NotFound);
+}
+
+#[test]
+fn a_status_is_never_older_than_what_another_node_said() {
+    // The watch of node 1 hangs while node 0 accepts and cancels: node 1 must not answer
+    // from its old copy, neither 404 nor running.
+    let mut w = settled(4, 2, 2);
+    w.nodes[1].cut_from_state = true;
+    let r = w.submit(0, job("j-1", 1));
+    w.answer(r);
+    let r = w.status(1, "j-1");
+    assert!(matches!(w.answer(r), UserReply::Later { .. }));
+    w.nodes[1].cut_from_state = false;
+    w.run(3_000);
+    let r = w.status(1, "j-1");
+    assert!(matches!(w.answer(r), UserReply::State { .. }));
+}
+
+#[test]
+fn two_nodes_that_claim_the_same_work_start_it_once() {
+    for seed in 0..10 {
+        let mut w = settled(seed, 3, 4);
+        for i in 0..6 {
+            w.submit(i % 3, job(&format!("j-{i}"), 3));
+        }
+        w.until(60_000, "all done", |w| {
+            (0..6).all(|i| done(w, &format!("j-{i}")))
+        });
+        assert_eq!(w.starts, 18, "seed {seed}");
+        w.check_records();
+    }
+}
+
+#[test]
+fn a_lost_start_is_sent_again_only_after_the_next_check_in() {
+    let mut w = settled(5, 2, 1);
+    w.mishaps.reply_lost = 0.5;
+    w.submit(0, job("j-1", 2));
+    w.until(90_000, "done", |w| done(w, "j-1"));
+    assert!(w.lost_starts > 0, "the story lost a start");
+    w.check_records();
+}
+
+#[test]
+fn late_repeated_and_lost_check_ins_break_nothing() {
+    for seed in 0..6 {
+        let mut w = settled(100 + seed, 3, 4);
+        w.mishaps = Mishaps {
+            report_lost: 0.1,
+            report_late: 0.1,
+            report_twice: 0.2,
+            reply_lost: 0.1,
+            ..Mishaps::default()
+        };
+        for i in 0..5 {
+            w.submit(i % 3, job(&format!("j-{i}"), 4));
+        }
+        w.run(60_000);
+        w.mishaps = Mishaps::default();
+        w.until(90_000, "all done", |w| {
+            (0..5).all(|i| done(w, &format!("j-{i}")))
+        });
+        w.check_records();
+    }
+}
+
+#[test]
+fn transactions_that_apply_late_or_unanswered_break_nothing() {
+    for seed in 0..6 {
+        let mut w = settled(200 + seed, 3, 4);
+        w.mishaps.txn_answer_lost = 0.15;
+        w.mishaps.txn_late = 0.15;
+        for i in 0..5 {
+            w.submit(i % 3, job(&format!("j-{i}"), 4));
+            w.run(500);
+            w.submit((i + 1) % 3, job(&format!("j-{i}"), 4));
+        }
+        w.run(60_000);
+        w.mishaps = Mishaps::default();
+        w.until(120_000, "all done", |w| {
+            (0..5).all(|i| done(w, &format!("j-{i}")))
+        });
+        w.run(25_000);
+        w.check_records();
+    }
+}
+
+#[test]
+fn a_claimant_that_crashes_leaves_its_booking_to_the_others() {
+    for delay in [3, 8, 12, 20, 40, 200, 900] {
+        let mut w = settled(6, 3, 2);
+        let r = w.submit(0, job("j-1", 2));
+        w.answer(r);
+        w.run(delay);
+        w.crash(0, 20_000);
+        w.until(30_000, "done", |w| done(w, "j-1"));
+        w.check_records();
+    }
+}
+
+#[test]
+fn a_worker_whose_lease_lapsed_gets_its_work_anew() {
+    let mut w = settled(7, 2, 1);
+    w.submit(0, service("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    // The limit for silence lies below the lease: keep the cloud away to see the session.
+    w.cloud_down = true;
+    w.workers.get_mut(&name).unwrap().cut = true;
+    w.run(14_000);
+    assert_eq!(w.workers[&name].session, 2);
+    assert_eq!(w.running("j-1"), 0);
+    w.workers.get_mut(&name).unwrap().cut = false;
+    w.cloud_down = false;
+    w.until(60_000, "runs again", |w| w.running("j-1") == 1);
+    w.check_records();
+}
+
+#[test]
+fn a_dead_machine_is_deleted_and_its_service_moves() {
+    let mut w = settled(8, 3, 3);
+    w.submit(0, service("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    w.kill_machine(&name);
+    w.until(25_000, "runs elsewhere", |w| w.running("j-1") == 1);
+    assert!(w.deleted.contains(&name), "deletion is the proof");
+    w.check_records();
+}
+
+#[test]
+fn a_machine_behind_a_cut_runs_nothing_twice() {
+    // The worker goes on behind the cut; only its deletion frees the task.
+    let mut w = settled(9, 3, 3);
+    w.submit(0, service("j-1", 2));
+    w.until(10_000, "runs", |w| w.running("j-1") == 2);
+    let name = w.machine_of("j-1").unwrap();
+    w.workers.get_mut(&name).unwrap().cut = true;
+    w.run(40_000);
+    assert_eq!(w.running("j-1"), 2);
+    w.check_records();
+}
+
+#[test]
+fn a_cancellation_reaches_a_start_that_is_in_flight() {
+    for delay in [0, 3, 8, 15, 30, 60, 150, 700] {
+        let mut w = settled(10, 3, 2);
+        let r = w.submit(0, service("j-1", 3));
+        w.answer(r);
+        w.run(delay);
+        let r = w.cancel(1, "j-1");
+        assert!(matches!(
+            w.answer(r),
+            UserReply::Cancelled {
+                state: JobState::Cancelled,
+                ..
+            }
+        ));
+        w.run(5_000);
+        assert_eq!(w.running("j-1"), 0);
+        let r = w.status(2, "j-1");
+        assert!(matches!(
+            w.answer(r),
+            UserReply::State {
+                state: JobState::Cancelled,
+                ..
+            }
+        ));
+        w.run(40_000);
+        w.check_records();
+    }
+}
+
+#[test]
+fn a_cancelled_task_ends_in_time_though_its_node_is_cut_from_state() {
+    // With siblings reachable, workers are handed over; alone, the node stops renewing.
+    for alone in [false, true] {
+        let mut w = settled(11, 3, 2);
+        w.submit(0, service("j-1", 3));
+        w.until(10_000, "runs", |w| w.running("j-1") == 3);
+        let n = 0;
+        for worker in w.workers.values_mut() {
+            worker.node = n;
+        }
+        w.run(3_000);
+        w.nodes[n].cut_from_state = true;
+        w.nodes[n].cut_from_peers = alone;
+        w.run(3_000);
+        let r = w.cancel(1, "j-1");
+        assert!(matches!(w.answer(r), UserReply::Cancelled { .. }));
+        w.run(36_000);
+        assert_eq!(w.running("j-1"), 0, "alone: {alone}");
+    }
+}
+
+#[test]
+fn a_report_from_before_the_start_is_no_proof_that_it_never_arrived() {
+    let mut w = settled(22, 2, 1);
+    let mut spec = service("j-1", 1);
+    spec.team = "blue".into();
+    w.submit(0, spec);
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    w.workers.get_mut(&name).unwrap().cut = true;
+    let r = w.cancel(0, "j-1");
+    w.answer(r);
+    for n in 0..2 {
+        w.old_report(n, &name, 1);
+    }
+    w.run(500);
+    let Some((Record::Machine(m), _)) = w.store.get(&Key::Machine(name)) else {
+        panic!("the machine has a record");
+    };
+    assert_eq!(m.bookings.len(), 1, "the task still runs and still counts");
+}
+
+#[test]
+fn a_machine_that_keeps_a_cancelled_task_is_deleted() {
+    let mut w = settled(12, 2, 1);
+    w.submit(0, service("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    // Reports arrive, answers do not: the worker's lease would run out, but later.
+    for slot in &mut w.nodes {
+        slot.cut_from_workers = true;
+    }
+    let r = w.cancel(0, "j-1");
+    w.answer(r);
+    w.run(34_000);
+    assert!(w.deleted.contains(&name) || w.running("j-1") == 0);
+}
+
+#[test]
+fn a_team_never_exceeds_its_limit() {
+    for seed in 0..8 {
+        let mut w = settled(300 + seed, 3, 6);
+        for i in 0..6 {
+            let mut spec = job(&format!("j-{i}"), 3);
+            spec.team = "blue".into();
+            w.submit(i % 3, spec);
+        }
+        w.until(90_000, "all done", |w| {
+            (0..6).all(|i| done(w, &format!("j-{i}")))
+        });
+        w.run(3_000);
+        w.check_records();
+    }
+}
+
+#[test]
+fn scattered_and_joined_jobs_keep_to_their_zones() {
+    for seed in 0..6 {
+        let mut w = settled(400 + seed, 3, 6);
+        w.capacity = 0;
+        let mut apart = service("j-1", 4);
+        apart.scatter = true;
+        let mut joined = job("j-2", 5);
+        joined.together = true;
+        let mut zoned = job("j-3", 2);
+        zoned.zone = Some("west".into());
+        w.submit(0, apart);
+        w.submit(1, joined);
+        w.submit(2, zoned);
+        w.until(60_000, "placed", |w| {
+            w.running("j-1") == 4 && done(w, "j-2") && done(w, "j-3")
+        });
+    }
+}
+
+#[test]
+fn a_long_job_is_cut_into_chunks_that_appear_when_needed() {
+    let mut w = settled(13, 2, 4);
+    w.run_ms = 100;
+    w.settings.idle_return_ms = 600_000;
+    let mut spec = job("j-1", 250);
+    spec.scatter = true;
+    spec.need.cpus = 500;
+    spec.need.ram = 100;
+    w.submit(0, spec);
+    w.run(300);
+    assert!(!w.store.contains_key(&Key::Chunk("j-1".into(), 2)));
+    w.until(300_000, "done", |w| done(w, "j-1"));
+    w.run(10_000);
+    w.check_records();
+    let left = w
+        .store
+        .keys()
+        .filter(|k| matches!(k, Key::Chunk(..) | Key::Place(_)));
+    assert_eq!(left.count(), 0, "swept");
+}
+
+#[test]
+fn a_state_outage_costs_no_lease_and_no_task() {
+    let mut w = settled(14, 3, 2);
+    w.submit(0, service("j-1", 3));
+    w.until(10_000, "runs", |w| w.running("j-1") == 3);
+    w.state_down = true;
+    w.run(60_000);
+    assert_eq!(w.running("j-1"), 3);
+    let r = w.submit(0, job("j-2", 1));
+    assert!(
+        matches!(w.answer(r), UserReply::Later { .. }),
+        "answered at once"
+    );
+    assert!(
+        w.nodes[0].node.as_ref().unwrap().ready(),
+        "no node is better"
+    );
+    w.state_down = false;
+    w.run(3_000);
+    assert_eq!(w.running("j-1"), 3);
+    assert_eq!(w.starts, 3);
+    assert!(w.workers.values().all(|w| w.session == 1));
+}
+
+#[test]
+fn all_nodes_restart_and_nothing_is_lost() {
+    let mut w = settled(15, 3, 3);
+    w.submit(0, service("j-1", 2));
+    w.submit(1, job("j-2", 4));
+    w.until(10_000, "runs", |w| w.running("j-1") == 2);
+    for n in 0..3 {
+        w.crash(n, 4_000);
+    }
+    w.run(6_000);
+    w.until(40_000, "goes on", |w| {
+        w.running("j-1") == 2 && done(w, "j-2")
+    });
+    assert!(
+        w.workers.values().all(|w| w.session == 1),
+        "no lease lapsed"
+    );
+    assert_eq!(w.starts, 6);
+    w.check_records();
+}
+
+#[test]
+fn nothing_to_run_on_leads_to_one_rental_that_three_nodes_agree_on() {
+    let mut w = settled(16, 3, 0);
+    w.submit(0, job("j-1", 2));
+    w.submit(1, job("j-2", 2));
+    w.until(40_000, "done", |w| done(w, "j-1") && done(w, "j-2"));
+    assert!(w.rented <= 3, "{} machines for eight processors", w.rented);
+    w.run(60_000);
+    assert_eq!(w.workers.len(), 0, "returned when idle");
+    w.check_records();
+}
+
+#[test]
+fn a_rental_without_an_answer_is_asked_again_by_the_same_name() {
+    let mut w = settled(17, 3, 0);
+    w.mishaps.cloud_lost = 1.0;
+    w.submit(0, job("j-1", 2));
+    w.run(3_000);
+    w.mishaps.cloud_lost = 0.0;
+    w.until(60_000, "done", |w| done(w, "j-1"));
+    assert_eq!(w.rented, 1);
+    w.check_records();
+}
+
+#[test]
+fn the_node_that_rented_crashes_and_another_takes_the_machine_up() {
+    let mut w = settled(18, 3, 0);
+    let r = w.submit(0, job("j-1", 2));
+    w.answer(r);
+    w.run(15);
+    w.crash(0, 60_000);
+    w.until(40_000, "done", |w| done(w, "j-1"));
+    w.check_records();
+}
+
+#[test]
+fn a_machine_that_fails_everything_is_found_and_spared() {
+    let mut w = settled(19, 2, 3);
+    let sick = "n-000000".to_string();
+    w.workers.get_mut(&sick).unwrap().fails_all = true;
+    for i in 0..4 {
+        w.submit(0, job(&format!("j-{i}"), 3));
+    }
+    w.until(90_000, "all done", |w| {
+        (0..4).all(|i| done(w, &format!("j-{i}")))
+    });
+    w.until(60_000, "deleted", |w| w.deleted.contains("n-000000"));
+}
+
+#[test]
+fn a_faulty_job_backs_off_and_does_not_ruin_machines() {
+    let mut w = settled(20, 2, 4);
+    w.capacity = 0;
+    for worker in w.workers.values_mut() {
+        worker.fails_all = true;
+    }
+    w.submit(0, job("j-1", 1));
+    w.run(60_000);
+    assert!(w.starts < 25, "{} starts", w.starts);
+    for worker in w.workers.values_mut() {
+        worker.fails_all = false;
+    }
+    w.submit(0, job("j-2", 1));
+    w.until(60_000, "others run", |w| done(w, "j-2"));
+}
+
+#[test]
+fn a_machine_under_notice_gets_nothing_new() {
+    let mut w = settled(21, 2, 2);
+    w.workers.get_mut("n-000000").unwrap().notice_s = Some(20.0);
+    w.run(4_000);
+    w.submit(0, job("j-1", 2));
+    w.until(20_000, "done", |w| done(w, "j-1"));
+    assert!(w.workers.get("n-000000").is_none_or(|w| w.tasks.is_empty()));
+}
+
+/// Everything at once, by chance: the rules are checked at every step.
+#[test]
+fn random_mishaps_break_no_rule() {
+    for seed in 0..20 {
+        let mut w = settled(1_000 + seed, 3, 4);
+        w.capacity = 4;
+        w.mishaps = Mishaps {
+            txn_answer_lost: 0.03,
+            txn_late: 0.03,
+            report_lost: 0.03,
+            report_late: 0.03,
+            report_twice: 0.05,
+            reply_lost: 0.03,
+            cloud_lost: 0.2,
+        };
+        let mut jobs: Vec<String> = Vec::new();
+        for step in 0..120 {
+            match w.rng.gen_range(0..16) {
+                0..=3 => {
+                    let id = format!("j-{step}");
+                    let tasks = w.rng.gen_range(1..5);
+                    let mut spec = match w.rng.gen_bool(0.3) {
+                        true => service(&id, tasks),
+                        false => job(&id, tasks),
+                    };
+                    if w.rng.gen_bool(0.5) {
+                        spec.team = "blue".into();
+                    }
+                    spec.scatter = w.rng.gen_bool(0.3);
+                    spec.together = !spec.scatter && w.rng.gen_bool(0.2);
+                    spec.spot = w.rng.gen_bool(0.4);
+                    w.submit(step % 3, spec);
+                    jobs.push(id);
+                }
+                4 if !jobs.is_empty() => {
+                    let id = jobs[w.rng.gen_range(0..jobs.len())].clone();
+                    w.cancel(step % 3, &id);
+                }
+                5 => {
+                    let n = w.rng.gen_range(0..3);
+                    w.crash(n, 4_000);
+                }
+                6 => {
+                    let n = w.rng.gen_range(0..3);
+                    let slot = &mut w.nodes[n];
+                    slot.cut_from_state = !slot.cut_from_state;
+                }
+                7 => {
+                    let n = w.rng.gen_range(0..3);
+                    let slot = &mut w.nodes[n];
+                    slot.cut_from_workers = !slot.cut_from_workers;
+                }
+                8 => {
+                    let n = w.rng.gen_range(0..3);
+                    let slot = &mut w.nodes[n];
+                    slot.cut_from_peers = !slot.cut_from_peers;
+                }
+                9 => w.state_down = !w.state_down,
+                10 => {
+                    let names: Vec<String> = w.workers.keys().cloned().collect();
+                    if !names.is_empty() {
+                        let name = &names[w.rng.gen_range(0..names.len())];
+                        let cut = !w.workers[name].cut;
+                        w.workers.get_mut(name).unwrap().cut = cut;
+                    }
+                }
+                11 => {
+                    let names: Vec<String> = w.workers.keys().cloned().collect();
+                    if names.len() > 2 {
+                        let name = names[w.rng.gen_range(0..names.len())].clone();
+                        w.kill_machine(&name);
+                    }
+                }
+                12 => w.cloud_down = !w.cloud_down,
+                _ => {
+                    for id in jobs.clone() {
+                        let n = w.rng.gen_range(0..3);
+                        w.status(n, &id);
+                    }
+                }
+            }
+            let pause = w.rng.gen_range(100..2_500);
+            w.run(pause);
+            if w.rng.gen_bool(0.2) {
+                w.heal();
+            }
+        }
+        // Peace: whatever is left must come to an end.
+        w.mishaps = Mishaps::default();
+        w.heal();
+        w.capacity += 4;
+        w.run(5_000);
+        // Services hold their team's limit for as long as they are wanted.
+        for id in jobs
+            .iter()
+            .filter(|id| w.specs[*id].shape == Shape::Service)
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            w.cancel(0, &id);
+        }
+        w.run(45_000);
+        w.check_records();
+        let open = |w: &World, id: &String| {
+            w.job_phase(id) == Some(Phase::Open) && w.specs[id].shape == Shape::Array
+        };
+        let jobs2 = jobs.clone();
+        w.until(200_000, "arrays end", |w| {
+            !jobs2.iter().any(|id| open(w, id))
+        });
+        w.check_records();
+        assert!(w.starts > 20, "seed {seed}: {} starts", w.starts);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/world/mod.rs
@@ -0,0 +1,1089 @@
+//! A small world in memory for stories: nodes, state service, cloud, workers and users in
+//! simulated time, with seeded chance. It checks the rules of the protocol at every step.
+
+#![allow(dead_code)]
+
+use glenmount_core::model::*;
+use glenmount_core::node::*;
+use glenmount_core::records::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+pub const WALL0: u64 = 1_700_000_000_000;
+
+#[derive(Clone, Debug)]
+enum Act {
+    Tick(usize, u32),
+    Node(usize, u32, Event),
+    State(usize, u32, Token, StateOp, Fate),
+    Watch(usize, u32),
+    Report(String),
+    Arrive(usize, Report, u64),
+    Reply(String, u64, u64, WorkerReply),
+    GaveUp(String, u64),
+    Lease(String),
+    Phase(String, TaskId, u64, TaskPhase),
+    Cloud(usize, u32, Token, CloudOp, bool),
+    Boot(String),
+    Restart(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fate {
+    Normal,
+    /// Executed, but the answer is lost.
+    AnswerLost,
+    /// Given up by the node, executed later.
+    Late(u64),
+}
+
+pub struct NodeSlot {
+    pub node: Option<Node>,
+    pub life: u32,
+    pub cut_from_state: bool,
+    pub cut_from_workers: bool,
+    pub cut_from_peers: bool,
+    watching: Option<u64>,
+}
+
+pub struct Task {
+    pub phase: TaskPhase,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub tally: u64,
+    pub token: u64,
+    pub lease_from: u64,
+    pub tasks: BTreeMap<(TaskId, u64), Task>,
+    in_flight: Option<u64>,
+    sent_at: u64,
+    serial: u64,
+    pub node: usize,
+    pub alive: bool,
+    pub cut: bool,
+    pub fails_all: bool,
+    pub notice_s: Option<f64>,
+}
+
+impl Worker {
+    fn live(&self) -> impl Iterator<Item = &(TaskId, u64)> {
+        self.tasks
+            .iter()
+            .filter(|(_, t)| !matches!(t.phase, TaskPhase::Exited(_)))
+            .map(|(k, _)| k)
+    }
+}
+
+#[derive(Default)]
+pub struct Told {
+    pub accepted: bool,
+    pub cancelled_at: Option<u64>,
+    pub done: bool,
+    pub asked_cancel: bool,
+}
+
+/// Chances of mishaps per message, between 0 and 1.
+#[derive(Default, Clone)]
+pub struct Mishaps {
+    pub txn_answer_lost: f64,
+    pub txn_late: f64,
+    pub report_lost: f64,
+    pub report_late: f64,
+    pub report_twice: f64,
+    pub reply_lost: f64,
+    pub cloud_lost: f64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: SmallRng,
+    queue: BTreeMap<(u64, u64), Act>,
+    sequence: u64,
+    pub nodes: Vec<NodeSlot>,
+    pub settings: Settings,
+    pub types: Vec<MachineType>,
+    // State service
+    pub store: BTreeMap<Key, (Record, u64)>,
+    log: Vec<(u64, Key, Option<Record>)>,
+    pub epoch: u64,
+    pub state_down: bool,
+    pub conflicts: u32,
+    // Cloud
+    pub hires: HashMap<String, Vec<String>>,
+    pub rented: u32,
+    pub capacity: u32,
+    pub cloud_down: bool,
+    pub deleted: BTreeSet<String>,
+    // Workers, users
+    pub workers: BTreeMap<String, Worker>,
+    pub specs: BTreeMap<String, JobSpec>,
+    pub told: BTreeMap<String, Told>,
+    pub done_tasks: BTreeSet<TaskId>,
+    pub run_ms: u64,
+    pub answers: BTreeMap<RequestId, UserReply>,
+    asked: HashMap<RequestId, (usize, String)>,
+    checkins: HashMap<(usize, u32, RequestId), (String, u64, u64)>,
+    next_request: u64,
+    pub mishaps: Mishaps,
+    pub starts: u32,
+    /// Replies with starts that workers never saw.
+    pub lost_starts: u32,
+}
+
+pub fn settings(node: &str, count: usize) -> Settings {
+    let mut teams = BTreeMap::new();
+    for (name, max) in [("blue", 12_000), ("red", 0)] {
+        teams.insert(
+            name.to_string(),
+            Team {
+                name: name.into(),
+                cpus: 8_000,
+                cpus_max: max,
+                gpus: 0,
+                gpus_max: 0,
+            },
+        );
+    }
+    Settings {
+        node: node.into(),
+        nodes: (0..count).map(|i| format!("node-{i}")).collect(),
+        zones: vec!["east".into(), "west".into()],
+        teams,
+        report_ms: 1_500,
+        lease_ms: 10_000,
+        cancel_ms: 35_000,
+        value_bytes: 8 * 1024,
+        txn_ops: 16,
+        clock_off_ms: 1_000,
+        hold_ms: 1_000,
+        idle_return_ms: 30_000,
+    }
+}
+
+pub fn job(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.into(),
+        class: "batch".into(),
+        team: "red".into(),
+        shape: Shape::Array,
+        rank: Rank::Normal,
+        tasks,
+        need: Room {
+            cpus: 2_000,
+            gpus: 0,
+            ram: 1_000,
+        },
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        together: false,
+        scatter: false,
+        spot: false,
+        estimate_s: 5.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+pub fn service(id: &str, tasks: u32) -> JobSpec {
+    JobSpec {
+        shape: Shape::Service,
+        rank: Rank::Production,
+        ..job(id, tasks)
+    }
+}
+
+fn kind(name: &str, cpus: u64) -> MachineType {
+    MachineType {
+        name: name.into(),
+        room: Room {
+            cpus: cpus * 1_000,
+            gpus: 0,
+            ram: cpus * 4_000,
+        },
+        cache_gb: 20.0,
+        fetch_gb_per_s: 1.0,
+        price: cpus as f64 * 0.05,
+        spot_price: cpus as f64 * 0.01,
+        boot_s: 3.0,
+        zones: vec!["east".into(), "west".into()],
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize, machines: usize) -> World {
+        let mut w = World {
+            now: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            nodes: Vec::new(),
+            settings: settings("", nodes),
+            types: vec![kind("small", 4), kind("large", 8)],
+            store: BTreeMap::new(),
+            log: Vec::new(),
+            epoch: 0,
+            state_down: false,
+            conflicts: 0,
+            hires: HashMap::new(),
+            rented: 0,
+            capacity: 6,
+            cloud_down: false,
+            deleted: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            told: BTreeMap::new(),
+            done_tasks: BTreeSet::new(),
+            run_ms: 5_000,
+            answers: BTreeMap::new(),
+            asked: HashMap::new(),
+            checkins: HashMap::new(),
+            next_request: 1,
+            mishaps: Mishaps::default(),
+            starts: 0,
+            lost_starts: 0,
+        };
+        for i in 0..nodes {
+            w.nodes.push(NodeSlot {
+                node: None,
+                life: 0,
+                cut_from_state: false,
+                cut_from_workers: false,
+                cut_from_peers: false,
+                watching: None,
+            });
+            w.at(i as u64 * 7, Act::Restart(i));
+        }
+        for i in 0..machines {
+            let zone = ["east", "west"][i % 2];
+            w.boot_machine("small", zone, false, 10 + i as u64 * 13);
+        }
+        w
+    }
+
+    fn at(&mut self, delay: u64, act: Act) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), act);
+    }
+
+    fn chance(&mut self, p: f64) -> bool {
+        p > 0.0 && self.rng.gen_bool(p)
+    }
+
+    pub fn boot_machine(&mut self, type_name: &str, zone: &str, spot: bool, delay: u64) -> String {
+        let name = format!("n-{:06}", self.rented);
+        self.rented += 1;
+        let node = self.rng.gen_range(0..self.settings.nodes.len());
+        self.workers.insert(
+            name.clone(),
+            Worker {
+                name: name.clone(),
+                type_name: type_name.into(),
+                zone: zone.into(),
+                spot,
+                session: 1,
+                tally: 0,
+                token: 0,
+                lease_from: self.now + delay,
+                tasks: BTreeMap::new(),
+                in_flight: None,
+                sent_at: 0,
+                serial: 0,
+                node,
+                alive: false,
+                cut: false,
+                fails_all: false,
+                notice_s: None,
+            },
+        );
+        self.at(delay, Act::Boot(name.clone()));
+        name
+    }
+
+    pub fn crash(&mut self, n: usize, back_after: u64) {
+        let slot = &mut self.nodes[n];
+        slot.node = None;
+        slot.life += 1;
+        slot.watching = None;
+        self.at(back_after, Act::Restart(n));
+    }
+
+    /// Ends all outages and cuts.
+    pub fn heal(&mut self) {
+        (self.state_down, self.cloud_down) = (false, false);
+        for slot in &mut self.nodes {
+            slot.cut_from_state = false;
+            slot.cut_from_workers = false;
+            slot.cut_from_peers = false;
+        }
+        for worker in self.workers.values_mut() {
+            worker.cut = false;
+        }
+    }
+
+    pub fn kill_machine(&mut self, name: &str) {
+        if let Some(w) = self.workers.get_mut(name) {
+            w.alive = false;
+            w.tasks.clear();
+        }
+    }
+
+    // ---- Users ---------------------------------------------------------------------
+
+    fn request(&mut self, n: usize, id: &str, event: impl FnOnce(RequestId) -> Event) -> RequestId {
+        let request = self.next_request;
+        self.next_request += 1;
+        self.asked.insert(request, (n, id.to_string()));
+        let life = self.nodes[n].life;
+        self.at(2, Act::Node(n, life, event(request)));
+        request
+    }
+
+    pub fn submit(&mut self, n: usize, spec: JobSpec) -> RequestId {
+        let id = spec.id.clone();
+        self.specs.insert(id.clone(), spec.clone());
+        self.request(n, &id, |request| Event::Submit {
+            request,
+            spec: Box::new(spec),
+        })
+    }
+
+    pub fn status(&mut self, n: usize, id: &str) -> RequestId {
+        let job = id.to_string();
+        self.request(n, id, |request| Event::Status { request, job })
+    }
+
+    pub fn cancel(&mut self, n: usize, id: &str) -> RequestId {
+        self.told.entry(id.to_string()).or_default().asked_cancel = true;
+        let job = id.to_string();
+        self.request(n, id, |request| Event::Cancel { request, job })
+    }
+
+    /// Sends a request and runs until it is answered.
+    pub fn answer(&mut self, request: RequestId) -> UserReply {
+        for _ in 0..6_000 {
+            if let Some(reply) = self.answers.get(&request) {
+                return reply.clone();
+            }
+            self.run(1);
+        }
+        panic!("request {request} was never answered");
+    }
+
+    fn user_told(&mut self, request: RequestId, reply: UserReply) {
+        let Some((_, id)) = self.asked.remove(&request) else {
+            return;
+        };
+        let all_done = self.specs.get(&id).is_some_and(|s| {
+            (0..s.tasks).all(|index| {
+                self.done_tasks.contains(&TaskId {
+                    job: id.clone(),
+                    index,
+                })
+            })
+        });
+        let told = self.told.entry(id.clone()).or_default();
+        match &reply {
+            UserReply::Accepted { .. } => told.accepted = true,
+            UserReply::State { state, .. } | UserReply::Cancelled { state, .. } => {
+                assert!(self.specs.contains_key(&id), "invented: {id}");
+                if *state == JobState::Done {
+                    assert!(all_done, "not_done: {id} called done");
+                    assert!(told.cancelled_at.is_none(), "went_back: {id}");
+                    told.done = true;
+                } else {
+                    assert!(!told.done, "went_back: {id} was done, now {state:?}");
+                }
+                if *state == JobState::Cancelled {
+                    assert!(told.asked_cancel, "went_back: {id} cancelled by nobody");
+                    told.cancelled_at.get_or_insert(self.now);
+                } else {
+                    assert!(told.cancelled_at.is_none(), "went_back: {id} was cancelled");
+                }
+                told.accepted = true;
+            }
+            UserReply::NotFound => assert!(!told.accepted, "forgotten: {id}"),
+            UserReply::Never(why) => assert!(!told.accepted, "forgotten: {id}: {why}"),
+            UserReply::Later { .. } => {}
+        }
+        self.answers.insert(request, reply);
+    }
+
+    // ---- Rules ---------------------------------------------------------------------
+
+    fn check_start(&self, machine: &str, task: &TaskId) {
+        let spec = &self.specs[&task.job];
+        let w = &self.workers[machine];
+        for other in self.workers.values() {
+            if other.name != machine {
+                assert!(
+                    !other.live().any(|(t, _)| t == task),
+                    "ran_twice: {task} on {machine} and {}",
+                    other.name
+                );
+            }
+        }
+        assert!(
+            spec.allows(&w.type_name, &w.zone, w.spot),
+            "wrong_place: {task} on {machine}"
+        );
+        let in_zone = |zone: &str| {
+            self.workers
+                .values()
+                .filter(|w| w.zone == zone)
+                .flat_map(|w| w.live())
+                .filter(|(t, _)| t.job == task.job && t != task)
+                .count() as u32
+        };
+        if spec.scatter {
+            assert!(
+                in_zone(&w.zone) < spec.tasks.div_ceil(2),
+                "wrong_place: {task} crowds {}",
+                w.zone
+            );
+        }
+        if spec.together {
+            for zone in &self.settings.zones {
+                assert!(
+                    *zone == w.zone || in_zone(zone) == 0,
+                    "wrong_place: {task} apart from its job"
+                );
+            }
+        }
+    }
+
+    fn check_rules(&self) {
+        let mut used: HashMap<&str, u64> = HashMap::new();
+        for w in self.workers.values() {
+            for (t, _) in w.live() {
+                let spec = &self.specs[&t.job];
+                *used.entry(&spec.team).or_default() += spec.need.cpus;
+                if let Some(at) = self.told.get(&t.job).and_then(|t| t.cancelled_at) {
+                    assert!(
+                        self.now <= at + self.settings.cancel_ms,
+                        "ran_cancelled: {t} on {}",
+                        w.name
+                    );
+                }
+            }
+        }
+        for (team, cpus) in used {
+            let max = self.settings.teams[team].cpus_max;
+            assert!(max == 0 || cpus <= max, "quota: {team} uses {cpus}");
+        }
+    }
+
+    /// What must hold among the records themselves at any time.
+    pub fn check_records(&self) {
+        let mut usage: BTreeMap<String, u64> = BTreeMap::new();
+        for (key, (record, _)) in &self.store {
+            let (Key::Machine(id), Record::Machine(m)) = (key, record) else {
+                continue;
+            };
+            for b in &m.bookings {
+                *usage.entry(b.team.clone()).or_default() += b.need.cpus;
+                let Some((Record::Job(j), _)) = self.store.get(&Key::Job(b.job.clone())) else {
+                    panic!("{id} is booked for an unknown job {}", b.job);
+                };
+                if j.phase == Phase::Open {
+                    let n = b.index / j.chunk;
+                    let Some((Record::Chunk(c), _)) = self.store.get(&Key::Chunk(b.job.clone(), n))
+                    else {
+                        panic!("booking without chunk");
+                    };
+                    assert_eq!(
+                        c.tasks[(b.index % j.chunk) as usize],
+                        TaskState::Booked(id.clone(), b.attempt, m.zone.clone())
+                    );
+                }
+            }
+        }
+        for team in self.settings.teams.keys() {
+            let recorded = match self.store.get(&Key::Team(team.clone())) {
+                Some((Record::Team(t), _)) => t.cpus,
+                _ => 0,
+            };
+            assert_eq!(
+                recorded,
+                usage.get(team).copied().unwrap_or(0),
+                "usage of {team}"
+            );
+        }
+    }
+
+    // ---- Time ----------------------------------------------------------------------
+
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some((&(at, n), _)) = self.queue.first_key_value() {
+            if at > end {
+                break;
+            }
+            let act = self.queue.remove(&(at, n)).unwrap();
+            self.now = at;
+            self.act(act);
+            self.check_rules();
+        }
+        self.now = end;
+    }
+
+    /// Runs until something holds, or fails after so many milliseconds.
+    pub fn until(&mut self, ms: u64, what: &str, mut holds: impl FnMut(&World) -> bool) {
+        let end = self.now + ms;
+        while !holds(self) {
+            assert!(self.now < end, "in vain at {}: {what}", self.now);
+            self.run(10);
+        }
+    }
+
+    pub fn running(&self, job: &str) -> usize {
+        self.workers
+            .values()
+            .flat_map(|w| w.tasks.iter())
+            .filter(|((t, _), s)| t.job == job && s.phase == TaskPhase::Running)
+            .count()
+    }
+
+    pub fn machine_of(&self, job: &str) -> Option<String> {
+        self.workers
+            .values()
+            .find(|w| w.live().any(|(t, _)| t.job == job))
+            .map(|w| w.name.clone())
+    }
+
+    pub fn job_phase(&self, id: &str) -> Option<Phase> {
+        match self.store.get(&Key::Job(id.into())) {
+            Some((Record::Job(j), _)) => Some(j.phase),
+            _ => None,
+        }
+    }
+
+    fn node(&mut self, n: usize, event: Event) {
+        let (now, wall) = (self.now, WALL0 + self.now);
+        let Some(node) = self.nodes[n].node.as_mut() else {
+            return;
+        };
+        let effects = node.handle(now, wall, event);
+        let life = self.nodes[n].life;
+        for effect in effects {
+            match effect {
+                Effect::User { request, reply } => self.user_told(request, reply),
+                Effect::Worker { request, reply } => {
+                    let key = (n, life, request);
+                    if let Some((w, session, serial)) = self.checkins.remove(&key) {
+                        let lost = self.mishaps.reply_lost;
+                        if self.nodes[n].cut_from_workers || self.chance(lost) {
+                            if matches!(&reply, WorkerReply::Orders { orders, .. }
+                                if orders.iter().any(|o| matches!(o, Order::Start { .. })))
+                            {
+                                self.lost_starts += 1;
+                            }
+                            continue;
+                        }
+                        let delay = self.rng.gen_range(1..6);
+                        self.at(delay, Act::Reply(w, session, serial, reply));
+                    }
+                }
+                Effect::State { token, op, .. } => {
+                    if self.nodes[n].cut_from_state {
+                        let event = Event::State {
+                            token,
+                            answer: StateAnswer::NoAnswer,
+                        };
+                        self.at(1_200, Act::Node(n, life, event));
+                        continue;
+                    }
+                    let mut fate = Fate::Normal;
+                    if matches!(op, StateOp::Txn(_)) {
+                        let (lost, late) = (self.mishaps.txn_answer_lost, self.mishaps.txn_late);
+                        if self.chance(lost) {
+                            fate = Fate::AnswerLost;
+                        } else if self.chance(late) {
+                            fate = Fate::Late(self.rng.gen_range(1_300..20_000));
+                        }
+                    }
+                    self.state_request(n, life, token, op, fate);
+                }
+                Effect::Cloud { token, op } => {
+                    let lost = self.mishaps.cloud_lost;
+                    let lost = self.chance(lost);
+                    let delay = self.rng.gen_range(30..200);
+                    self.at(delay, Act::Cloud(n, life, token, op, lost));
+                }
+                Effect::Watch { since } => {
+                    self.nodes[n].watching = Some(since);
+                    self.at(3, Act::Watch(n, life));
+                }
+                Effect::Beat(beat) => {
+                    for m in 0..self.nodes.len() {
+                        if m != n && !self.nodes[n].cut_from_peers && !self.nodes[m].cut_from_peers
+                        {
+                            let life = self.nodes[m].life;
+                            self.at(3, Act::Node(m, life, Event::Beat(beat.clone())));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn state_request(&mut self, n: usize, life: u32, token: Token, op: StateOp, fate: Fate) {
+        let delay = match fate {
+            Fate::Late(ms) => ms,
+            _ => self.rng.gen_range(2..10),
+        };
+        if fate != Fate::Normal {
+            let event = Event::State {
+                token,
+                answer: StateAnswer::NoAnswer,
+            };
+            self.at(1_200, Act::Node(n, life, event));
+        }
+        self.at(delay, Act::State(n, life, token, op, fate));
+    }
+
+    fn execute(&mut self, op: StateOp) -> StateAnswer {
+        match op {
+            StateOp::Proof => StateAnswer::Proof { epoch: self.epoch },
+            StateOp::List { after } => {
+                let mut items: Vec<_> = self
+                    .store
+                    .iter()
+                    .filter(|(k, _)| after.as_ref().is_none_or(|a| k.path() > *a))
+                    .map(|(k, (r, stamp))| (k.clone(), *stamp, r.clone()))
+                    .collect();
+                items.sort_by_key(|(k, ..)| k.path());
+                let more = items.len() > 40;
+                items.truncate(40);
+                StateAnswer::Listed {
+                    last: items.last().map(|(k, ..)| k.path()),
+                    items,
+                    more,
+                    epoch: self.epoch,
+                }
+            }
+            StateOp::Txn(txn) => {
+                assert!(
+                    txn.changes.len() <= self.settings.txn_ops,
+                    "too many changes"
+                );
+                assert!(txn.conditions.len() <= self.settings.txn_ops * 4);
+                let holds = txn
+                    .conditions
+                    .iter()
+                    .all(|(k, stamp)| self.store.get(k).map_or(0, |(_, stamp)| *stamp) == *stamp);
+                if !holds {
+                    self.conflicts += 1;
+                    return StateAnswer::Conflict { epoch: self.epoch };
+                }
+                self.epoch += 1;
+                let epoch = self.epoch;
+                for (key, record) in txn.changes {
+                    // Through JSON, as on the wire.
+                    let record = record.map(|r| {
+                        let value = r.value();
+                        let size = value.to_string().len() as u64;
+                        assert!(
+                            size <= self.settings.value_bytes,
+                            "{key:?} has {size} bytes"
+                        );
+                        Record::read(&key, value).expect("a record reads back")
+                    });
+                    match &record {
+                        Some(r) => {
+                            self.store.insert(key.clone(), (r.clone(), epoch));
+                        }
+                        None => {
+                            self.store.remove(&key);
+                        }
+                    }
+                    self.log.push((epoch, key, record));
+                }
+                for n in 0..self.nodes.len() {
+                    let life = self.nodes[n].life;
+                    let delay = self.rng.gen_range(2..8);
+                    self.at(delay, Act::Watch(n, life));
+                }
+                StateAnswer::Committed { epoch }
+            }
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Restart(n) => {
+                let mut settings = self.settings.clone();
+                settings.node = self.settings.nodes[n].clone();
+                let seed = self.rng.gen();
+                let node = Node::new(settings, seed, self.now, WALL0 + self.now);
+                self.nodes[n].node = Some(node);
+                let life = self.nodes[n].life;
+                self.at(1, Act::Tick(n, life));
+            }
+            Act::Tick(n, life) => {
+                if self.nodes[n].life == life && self.nodes[n].node.is_some() {
+                    self.node(n, Event::Tick);
+                    self.at(50, Act::Tick(n, life));
+                }
+            }
+            Act::Node(n, life, event) => {
+                if self.nodes[n].life == life {
+                    self.node(n, event);
+                }
+            }
+            Act::State(n, life, token, op, fate) => {
+                let down = self.state_down;
+                let answer = match down {
+                    true => StateAnswer::Unavailable,
+                    false => self.execute(op),
+                };
+                if fate == Fate::Normal {
+                    let event = Event::State { token, answer };
+                    self.at(3, Act::Node(n, life, event));
+                }
+            }
+            Act::Watch(n, life) => {
+                let slot = &self.nodes[n];
+                let Some(since) = slot.watching.filter(|_| slot.life == life) else {
+                    return;
+                };
+                if slot.cut_from_state || self.state_down {
+                    self.at(200, Act::Watch(n, life));
+                    return;
+                }
+                let changes: Vec<_> = self
+                    .log
+                    .iter()
+                    .filter(|(e, ..)| *e > since)
+                    .map(|(e, k, r)| (k.clone(), *e, r.clone()))
+                    .collect();
+                if !changes.is_empty() {
+                    let epoch = self.epoch;
+                    self.nodes[n].watching = Some(epoch);
+                    self.node(n, Event::Watched { epoch, changes });
+                }
+            }
+            Act::Boot(name) => {
+                let now = self.now;
+                if let Some(w) = self.workers.get_mut(&name) {
+                    w.alive = true;
+                    w.lease_from = now;
+                    self.at(1, Act::Report(name.clone()));
+                    self.at(100, Act::Lease(name));
+                }
+            }
+            Act::Lease(name) => {
+                let (now, lease) = (self.now, self.settings.lease_ms);
+                let Some(w) = self.workers.get_mut(&name) else {
+                    return;
+                };
+                if !w.alive {
+                    return;
+                }
+                if now > w.lease_from + lease {
+                    w.session += 1;
+                    w.tasks.clear();
+                    w.lease_from = now;
+                    w.in_flight = None;
+                    self.at(1, Act::Report(name.clone()));
+                }
+                self.at(50, Act::Lease(name));
+            }
+            Act::Report(name) => self.send_report(&name),
+            Act::Arrive(n, report, serial) => {
+                let slot = &self.nodes[n];
+                if slot.node.is_none() || slot.cut_from_workers {
+                    return;
+                }
+                let request = self.next_request;
+                self.next_request += 1;
+                let mark = (report.machine.clone(), report.session, serial);
+                self.checkins.insert((n, slot.life, request), mark);
+                let report = Box::new(report);
+                self.node(n, Event::CheckIn { request, report });
+            }
+            Act::Reply(name, session, serial, reply) => {
+                self.reply(&name, session, serial, reply);
+            }
+            Act::GaveUp(name, serial) => {
+                let count = self.nodes.len();
+                let Some(w) = self.workers.get_mut(&name) else {
+                    return;
+                };
+                if w.in_flight == Some(serial) {
+                    w.in_flight = None;
+                    w.node = (w.node + 1) % count;
+                    self.at(1_000, Act::Report(name));
+                }
+            }
+            Act::Phase(name, task, attempt, phase) => {
+                let Some(w) = self.workers.get_mut(&name) else {
+                    return;
+                };
+                let run_ms = self.run_ms;
+                let fails = w.fails_all;
+                if !w.alive {
+                    return;
+                }
+                let Some(t) = w.tasks.get_mut(&(task.clone(), attempt)) else {
+                    return;
+                };
+                if matches!(t.phase, TaskPhase::Exited(_)) {
+                    return;
+                }
+                t.phase = phase;
+                if phase == TaskPhase::Exited(Cause::Done) {
+                    self.done_tasks.insert(task.clone());
+                }
+                if phase == TaskPhase::Running {
+                    let spec = &self.specs[&task.job];
+                    if fails {
+                        let exit = TaskPhase::Exited(Cause::Error);
+                        self.at(300, Act::Phase(name.clone(), task, attempt, exit));
+                    } else if spec.shape == Shape::Array {
+                        let exit = TaskPhase::Exited(Cause::Done);
+                        self.at(run_ms, Act::Phase(name.clone(), task, attempt, exit));
+                    }
+                }
+                self.at(5, Act::Report(name));
+            }
+            Act::Cloud(n, life, token, op, lost) => {
+                let answer = self.cloud(op);
+                let event = Event::Cloud {
+                    token,
+                    answer: if lost { CloudAnswer::Failed } else { answer },
+                };
+                self.at(20, Act::Node(n, life, event));
+            }
+        }
+    }
+
+    /// Lets an old report of a machine, without tasks, arrive at a node now.
+    pub fn old_report(&mut self, n: usize, machine: &str, tally: u64) {
+        let w = &self.workers[machine];
+        let report = Report {
+            machine: w.name.clone(),
+            address: "10.0.0.9:9000".into(),
+            type_name: w.type_name.clone(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            session: w.session,
+            tally,
+            token: w.token,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        self.at(1, Act::Arrive(n, report, 0));
+    }
+
+    fn send_report(&mut self, name: &str) {
+        let mishaps = self.mishaps.clone();
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        if !w.alive || w.in_flight.is_some() {
+            return;
+        }
+        w.tally += 1;
+        w.serial += 1;
+        let serial = w.serial;
+        w.in_flight = Some(serial);
+        w.sent_at = self.now;
+        let report = Report {
+            machine: w.name.clone(),
+            address: "10.0.0.9:9000".into(),
+            type_name: w.type_name.clone(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            session: w.session,
+            tally: w.tally,
+            token: w.token,
+            notice_s: w.notice_s,
+            tasks: w
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    phase: t.phase,
+                })
+                .collect(),
+        };
+        let (n, cut) = (w.node, w.cut);
+        self.at(4_000, Act::GaveUp(name.to_string(), serial));
+        if cut || self.chance(mishaps.report_lost) {
+            return;
+        }
+        if self.chance(mishaps.report_twice) {
+            let late = self.rng.gen_range(500..30_000);
+            self.at(late, Act::Arrive(n, report.clone(), serial));
+        }
+        let delay = match self.chance(mishaps.report_late) {
+            true => self.rng.gen_range(3_000..40_000),
+            false => self.rng.gen_range(1..5),
+        };
+        self.at(delay, Act::Arrive(n, report, serial));
+    }
+
+    fn reply(&mut self, name: &str, session: u64, serial: u64, reply: WorkerReply) {
+        let names = self.settings.nodes.clone();
+        let report_ms = self.settings.report_ms;
+        let Some(w) = self.workers.get_mut(name) else {
+            return;
+        };
+        // The worker drops what comes after it gave up, or from an earlier session.
+        if !w.alive || w.cut || w.in_flight != Some(serial) || w.session != session {
+            return;
+        }
+        w.in_flight = None;
+        match reply {
+            WorkerReply::Orders { token, orders } => {
+                if token < w.token {
+                    return;
+                }
+                w.token = token;
+                // The lease counts from when the answered report was sent.
+                w.lease_from = w.sent_at;
+                for order in orders {
+                    self.order(name, order);
+                }
+                let wait = self.rng.gen_range(report_ms * 3 / 4..report_ms * 5 / 4);
+                self.at(wait, Act::Report(name.to_string()));
+            }
+            WorkerReply::Elsewhere { node: Some(node) } => {
+                if let Some(i) = names.iter().position(|n| *n == node) {
+                    w.node = i;
+                }
+                self.at(100, Act::Report(name.to_string()));
+            }
+            _ => {
+                w.node = (w.node + 1) % names.len();
+                self.at(1_000, Act::Report(name.to_string()));
+            }
+        }
+    }
+
+    fn order(&mut self, name: &str, order: Order) {
+        match order {
+            Order::Start { task, attempt } => {
+                let key = (task.clone(), attempt);
+                if self.workers[name].tasks.contains_key(&key) {
+                    return;
+                }
+                let spec = self.specs[&task.job].clone();
+                if let Some(told) = self.told.get(&task.job) {
+                    let over = self.settings.cancel_ms;
+                    assert!(
+                        told.cancelled_at.is_none_or(|at| self.now <= at + over),
+                        "ran_cancelled: {task} starts"
+                    );
+                }
+                let w = &self.workers[name];
+                let kind = self.types.iter().find(|t| t.name == w.type_name).unwrap();
+                let used = w.live().fold(Room::default(), |sum, (t, _)| {
+                    sum.plus(&self.specs[&t.job].need)
+                });
+                let phase = if w.tasks.keys().any(|(t, _)| *t == task) {
+                    TaskPhase::Exited(Cause::Busy)
+                } else if !kind.room.less(&used).fits(&spec.need) {
+                    TaskPhase::Exited(Cause::NoRoom)
+                } else {
+                    self.check_start(name, &task);
+                    self.starts += 1;
+                    TaskPhase::Fetching
+                };
+                let w = self.workers.get_mut(name).unwrap();
+                w.tasks.insert(key, Task { phase });
+                if phase == TaskPhase::Fetching {
+                    let fetch = self.rng.gen_range(50..900);
+                    let run = TaskPhase::Running;
+                    self.at(fetch, Act::Phase(name.to_string(), task, attempt, run));
+                }
+                self.at(500, Act::Report(name.to_string()));
+            }
+            Order::Stop { task, attempt, .. } => {
+                let w = self.workers.get_mut(name).unwrap();
+                if let Some(t) = w.tasks.get_mut(&(task, attempt)) {
+                    if !matches!(t.phase, TaskPhase::Exited(_)) {
+                        t.phase = TaskPhase::Exited(Cause::Stopped);
+                    }
+                }
+                self.at(500, Act::Report(name.to_string()));
+            }
+            Order::Forget { task, attempt } => {
+                let w = self.workers.get_mut(name).unwrap();
+                let key = (task, attempt);
+                if let Some(t) = w.tasks.get(&key) {
+                    assert!(matches!(t.phase, TaskPhase::Exited(_)));
+                    w.tasks.remove(&key);
+                }
+            }
+        }
+    }
+
+    fn cloud(&mut self, op: CloudOp) -> CloudAnswer {
+        if self.cloud_down {
+            return CloudAnswer::Failed;
+        }
+        match op {
+            CloudOp::Types => CloudAnswer::Types(self.types.clone()),
+            CloudOp::Hire {
+                name,
+                type_name,
+                zone,
+                spot,
+                count,
+            } => {
+                if let Some(hosts) = self.hires.get(&name) {
+                    return CloudAnswer::Hired(hosts.clone());
+                }
+                let count = count.min(self.capacity);
+                if count == 0 {
+                    return CloudAnswer::NoCapacity;
+                }
+                self.capacity -= count;
+                let hosts: Vec<String> = (0..count)
+                    .map(|_| {
+                        let boot = self.rng.gen_range(1_000..5_000);
+                        self.boot_machine(&type_name, &zone, spot, boot)
+                    })
+                    .collect();
+                self.hires.insert(name, hosts.clone());
+                CloudAnswer::Hired(hosts)
+            }
+            CloudOp::Delete { machines } => {
+                for name in machines {
+                    if self.workers.remove(&name).is_some() {
+                        self.capacity += 1;
+                    }
+                    self.deleted.insert(name);
+                }
+                CloudAnswer::Deleted
+            }
+            CloudOp::List { .. } => CloudAnswer::Hosts {
+                hosts: self
+                    .workers
+                    .values()
+                    .map(|w| Host {
+                        name: w.name.clone(),
+                        address: String::new(),
+                        type_name: w.type_name.clone(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        state: HostState::Running,
+                        age_s: 100.0,
+                    })
+                    .collect(),
+                more: false,
+            },
+        }
+    }
+}
