Starts by direct command, with a proof equal to that of check-ins

Cause: a start had to wait for the next check-in unless one was being held; up to 1.9 s. A claim now records session and token of one direct command; it is sent once. Missing from check-ins for a second, the machine's token is raised, and once the worker reports it the command can't come late. Stories: commands up to a minute late, lost, claimant crashed.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -18,6 +18,15 @@
     TooLarge,
 }
 
+/// What will carry the start to the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Carrier {
+    /// The answer to this check-in, or to the next one that any node gets.
+    Answer(Option<(u64, u64)>),
+    /// One direct command for a session, under the machine's token.
+    Command { session: u64, token: u64 },
+}
+
 /// Why a booking ends, once it is proven that its attempt is gone (or never began).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -69,7 +78,7 @@
     machine_type: &MachineType,
     machine_id: &str,
     task: &TaskId,
-    armed: Option<(u64, u64)>,
+    carrier: Carrier,
     wall: WallMs,
 ) -> Result<(), Refusal> {
     let job = draft.job(&task.job).ok_or(Refusal::JobOver)?;
@@ -128,7 +137,14 @@
         attempt,
         team: spec.team.clone(),
         need: spec.need,
-        armed,
+        armed: match carrier {
+            Carrier::Answer(mark) => mark,
+            Carrier::Command { .. } => None,
+        },
+        direct: match carrier {
+            Carrier::Answer(_) => None,
+            Carrier::Command { session, token } => Some((session, token)),
+        },
         stop: None,
     });
     if counts_places(&spec, &job) {
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -78,8 +78,13 @@
 pub const CANCEL_MARGIN_MS: u64 = 5_000;
 /// Share of `cancel_s` after which a machine that still holds a cancelled task is deleted.
 pub const CANCEL_DELETE_SHARE: f64 = 0.6;
-/// Milliseconds between two `halt`s of one task by `/do`.
-pub const HALT_REPEAT_MS: u64 = 2_000;
+/// Milliseconds a directly commanded start may be missing from check-ins before its token is
+/// raised: commands usually take a few milliseconds, and a claim's news a few more.
+pub const MISSING_MS: u64 = 1_000;
+/// Milliseconds that starts go by check-ins after a direct command failed.
+pub const COMMAND_PAUSE_MS: u64 = 8_000;
+/// Milliseconds that the answer to a direct command is waited for.
+pub const COMMAND_LIMIT_MS: u64 = 2_000;
 
 /// Milliseconds between two readings of the cloud's catalogue.
 pub const CATALOG_MS: u64 = 45_000;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -160,13 +160,17 @@
                     class = spec.class,
                     team = spec.team,
                     tasks = spec.tasks,
+                    image = spec.image,
                     "accepted"
                 );
+                // The watch may have brought the record first, as if a sibling had made it.
+                self.lookup_wanted = true;
                 self.answer(request, UserReply::Accepted { job: ask.job });
             }
             _ => {
                 tracing::info!(job = ask.job, "cancelled");
                 let state = JobState::Cancelled;
+                self.command_stops(&ask.job);
                 self.answer(
                     request,
                     UserReply::Cancelled {
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -155,8 +155,8 @@
     pub room: Room,
     /// Revision of its last change: the lowest has been left alone longest.
     pub stamp: u64,
-    /// The check-in that this node holds for it.
-    pub held: Option<(u64, u64)>,
+    /// How a start would get there from this node.
+    pub carrier: claims::Carrier,
 }
 
 #[derive(Debug, Default)]
@@ -213,7 +213,7 @@
                     kind,
                     &machine.id,
                     &task,
-                    machine.held,
+                    machine.carrier,
                     wall,
                 );
                 if got.is_ok() && !draft.within(settings.txn_ops) {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -4,11 +4,12 @@
 //! sends its next check-in only after it has taken or given up that answer, so a later
 //! check-in without the task proves that the start will never arrive.
 
-use crate::claims::{self, Outcome};
+use crate::claims::{self, Carrier, Outcome};
 use crate::constants::*;
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
+use std::collections::BTreeMap;
 
 /// A check-in that waits for its answer.
 pub(crate) struct Held {
@@ -54,7 +55,7 @@
             heard.at = self.now;
             (heard.session, heard.tally) = mark;
         }
-        let Some(token) = self.cache.term() else {
+        let Some(token) = self.machine_token(&id) else {
             self.worker(request, WorkerReply::NotNow);
             return;
         };
@@ -87,6 +88,7 @@
                 ready_since: None,
             },
         );
+        self.note_missing(&id);
         self.changed = true;
     }
 
@@ -176,15 +178,14 @@
                 return;
             }
             let machine = MachineRecord {
-                type_name: report.type_name.clone(),
-                zone: report.zone.clone(),
-                spot: report.spot,
-                phase: MachinePhase::Up,
-                at: wall,
                 address: report.address.clone(),
-                bookings: Vec::new(),
-                images: Vec::new(),
-                faults: Vec::new(),
+                ..MachineRecord::new(
+                    &report.type_name,
+                    &report.zone,
+                    report.spot,
+                    MachinePhase::Up,
+                    wall,
+                )
             };
             draft.put(Key::Machine(id.clone()), Record::Machine(machine));
             return;
@@ -193,39 +194,48 @@
             let task = b.task();
             let job = self.cache.job(&b.job);
             let wanted = b.stop.is_none() && job.is_some_and(|j| j.open().is_some());
-            let ended = match (held.reported(&task, b.attempt), b.armed) {
-                (Some(TaskPhase::Exited(cause)), _) => Some(match cause {
+            let reported = held.reported(&task, b.attempt);
+            // The start can't arrive any more, and is not there: of a newer session the
+            // worker has killed and forgotten everything older; a check-in after the one
+            // whose answer carried the start shows that the answer brought nothing; a token
+            // above the direct command's makes the worker refuse that one, however late.
+            let barred = match (b.armed, b.direct) {
+                (_, Some((session, token))) => session < mark.0 || token < report.token,
+                (Some(armed), None) => armed < mark,
+                (None, None) => true,
+            };
+            let newer_session = b
+                .armed
+                .or(b.direct)
+                .is_some_and(|(session, _)| session < mark.0);
+            let ended = match reported {
+                Some(TaskPhase::Exited(cause)) => Some(match cause {
                     Cause::Done => Outcome::Done,
                     Cause::Error => Outcome::Failed,
                     Cause::NoRoom | Cause::Busy | Cause::Unknown => Outcome::Refused,
                     Cause::Stopped | Cause::Other => Outcome::Gone,
                 }),
-                (Some(_), _) => None,
-                // A newer session: the worker has killed and forgotten everything older.
-                (None, Some((session, _))) if session < mark.0 => Some(Outcome::Gone),
-                // Never started, and by now it can't be: release it, or try again below.
-                (None, Some(armed)) if armed < mark && !wanted => Some(Outcome::Gone),
-                (None, None) if !wanted => Some(Outcome::Gone),
+                None if newer_session || barred && !wanted => Some(Outcome::Gone),
                 _ => None,
             };
             let step = draft.save();
             if let Some(outcome) = ended {
                 claims::release(draft, id, &task, b.attempt, outcome, wall);
-            } else if wanted
-                && held.reported(&task, b.attempt).is_none()
-                && b.armed.is_none_or(|armed| armed < mark)
-                && held.open_for_starts(self.now).is_some()
-            {
+            } else if reported.is_none() && barred && held.open_for_starts(self.now).is_some() {
                 // The start goes into this answer, once the booking says so.
+                self.edit_booking(draft, id, b, |b| {
+                    b.direct = None;
+                    b.armed = Some(mark);
+                });
+            } else if reported.is_none() && !barred && self.long_missing(id, b) {
+                // A direct command without a trace: raise the token so that it can't come
+                // late. Once the worker reports the new token, the start is barred.
                 if let Some(mut machine) = draft.machine(id) {
-                    if let Some(b) = machine
-                        .bookings
-                        .iter_mut()
-                        .find(|x| x.attempt == b.attempt && x.job == b.job && x.index == b.index)
-                    {
-                        b.armed = Some(mark);
+                    let token = self.cache.term().unwrap_or(0) + machine.raised;
+                    if b.direct.is_some_and(|(_, t)| t >= token) {
+                        machine.raised += 1;
+                        draft.put(Key::Machine(id.clone()), Record::Machine(machine));
                     }
-                    draft.put(Key::Machine(id.clone()), Record::Machine(machine));
                 }
             }
             if !draft.within(self.settings.txn_ops) {
@@ -251,6 +261,150 @@
         }
     }
 
+    fn edit_booking(
+        &self,
+        draft: &mut Draft,
+        machine_id: &str,
+        booking: &Booking,
+        edit: impl FnOnce(&mut Booking),
+    ) {
+        let Some(mut machine) = draft.machine(machine_id) else {
+            return;
+        };
+        let same = |b: &&mut Booking| {
+            b.attempt == booking.attempt && b.job == booking.job && b.index == booking.index
+        };
+        if let Some(b) = machine.bookings.iter_mut().find(same) {
+            edit(b);
+        }
+        draft.put(
+            Key::Machine(machine_id.to_string()),
+            Record::Machine(machine),
+        );
+    }
+
+    /// The token under which a machine is commanded, the same for all nodes.
+    pub(crate) fn machine_token(&self, id: &str) -> Option<u64> {
+        let raised = self.cache.machine(id).map_or(0, |m| m.raised);
+        Some(self.cache.term()? + raised)
+    }
+
+    fn long_missing(&self, id: &str, b: &Booking) -> bool {
+        self.missing_since
+            .get(&(id.to_string(), b.task(), b.attempt))
+            .is_some_and(|at| self.now >= at + MISSING_MS)
+    }
+
+    /// Notes which directly commanded starts a check-in does not show.
+    fn note_missing(&mut self, id: &str) {
+        let (Some(held), Some(record)) = (self.held.get(id), self.cache.machine(id)) else {
+            return;
+        };
+        for b in record.bookings.iter().filter(|b| b.direct.is_some()) {
+            let key = (id.to_string(), b.task(), b.attempt);
+            if held.reported(&key.1, b.attempt).is_some() {
+                self.missing_since.remove(&key);
+            } else {
+                self.missing_since.entry(key).or_insert(self.now);
+            }
+        }
+    }
+
+    /// How a start gets from here to a machine: by a direct command, unless the last one
+    /// failed; then by the answer to a check-in.
+    pub(crate) fn carrier(&self, id: &str, m: &MachineRecord) -> Carrier {
+        let failed = self
+            .command_failed
+            .get(id)
+            .is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
+        let session = self.latest_session(id);
+        match (self.machine_token(id), session) {
+            (Some(token), Some(session)) if !failed && !m.address.is_empty() => {
+                Carrier::Command { session, token }
+            }
+            _ => Carrier::Answer(self.held.get(id).and_then(|h| h.open_for_starts(self.now))),
+        }
+    }
+
+    fn latest_session(&self, id: &str) -> Option<u64> {
+        let told = self
+            .siblings
+            .values()
+            .flat_map(|s| s.beat.heard.iter())
+            .filter(|(m, ..)| m == id)
+            .map(|(_, session, ..)| *session);
+        told.chain(self.heard.get(id).map(|h| h.session)).max()
+    }
+
+    /// Sends the starts of a committed claim. Each is sent once: were it sent again, a late
+    /// copy could start the task after its result was taken and forgotten.
+    pub(crate) fn command_starts(&mut self, claimed: &[(TaskId, String)]) {
+        let mut by_machine: BTreeMap<String, (u64, u64, Vec<Order>)> = BTreeMap::new();
+        for (task, id) in claimed {
+            let booking = self.cache.machine(id).and_then(|m| {
+                let same = |b: &&Booking| b.job == task.job && b.index == task.index;
+                m.bookings.iter().find(same)
+            });
+            let open = self
+                .cache
+                .job(&task.job)
+                .is_some_and(|j| j.open().is_some());
+            if let Some((attempt, (session, token))) = booking
+                .and_then(|b| Some((b.attempt, b.direct?)))
+                .filter(|_| open)
+            {
+                let entry = by_machine.entry(id.clone());
+                let (_, _, orders) = entry.or_insert((session, token, Vec::new()));
+                let task = task.clone();
+                tracing::info!(%task, attempt, machine = id, "start sent");
+                orders.push(Order::Start { task, attempt });
+            }
+        }
+        for (id, (session, token, orders)) in by_machine {
+            self.command(id, session, token, orders);
+        }
+    }
+
+    fn command(&mut self, machine: String, session: u64, token: u64, orders: Vec<Order>) {
+        if let Some(address) = self.cache.machine(&machine).map(|m| m.address.clone()) {
+            self.emit(Effect::Command {
+                machine,
+                address,
+                session,
+                token,
+                orders,
+            });
+        }
+    }
+
+    /// Stops a cancelled job's tasks at once. Late or lost, it does no harm: check-ins stop
+    /// them as well.
+    pub(crate) fn command_stops(&mut self, job: &str) {
+        let mut due: Vec<(String, Vec<Order>)> = Vec::new();
+        for (id, m, _) in self.cache.machines() {
+            let orders: Vec<Order> = m
+                .bookings
+                .iter()
+                .filter(|b| b.job == job)
+                .map(|b| Order::Stop {
+                    task: b.task(),
+                    attempt: b.attempt,
+                    grace_s: 0.0,
+                })
+                .collect();
+            if !orders.is_empty() {
+                due.push((id.to_string(), orders));
+            }
+        }
+        for (id, orders) in due {
+            if let (Some(token), Some(session)) =
+                (self.machine_token(&id), self.latest_session(&id))
+            {
+                self.command(id, session, token, orders);
+            }
+        }
+    }
+
     pub(crate) fn reconciled(&mut self, machines: Vec<String>, committed: bool) {
         for id in machines {
             if let Some(held) = self.held.get_mut(&id) {
@@ -268,12 +422,18 @@
         let mark = held.mark();
         let mut orders = Vec::new();
         let record = self.cache.machine(id);
+        let stamp = self.cache.stamp(&Key::Machine(id.clone()));
         for t in &held.report.tasks {
             let booking = record.and_then(|m| {
                 m.bookings.iter().find(|b| {
                     b.attempt == t.attempt && b.job == t.task.job && b.index == t.task.index
                 })
             });
+            // A claim changes the record from the revision that is its attempt: while the
+            // copy is not past that, a sibling's claim may just not have arrived here.
+            if booking.is_none() && stamp <= t.attempt {
+                continue;
+            }
             let job = self.cache.job(&t.task.job);
             match (t.phase, booking) {
                 (TaskPhase::Exited(_), None) => orders.push(Order::Forget {
@@ -344,7 +504,7 @@
     }
 
     fn answer_held(&mut self, id: &str, orders: Vec<Order>) {
-        let Some(token) = self.cache.term() else {
+        let Some(token) = self.machine_token(id) else {
             return;
         };
         let Some(held) = self.held.remove(id) else {
@@ -373,7 +533,7 @@
             };
             if !state_ok {
                 // Starts that were committed for this answer may go; nothing else.
-                let (request, token) = (held.request, self.cache.term().unwrap_or(0));
+                let (request, token) = (held.request, self.machine_token(&id).unwrap_or(0));
                 let reply = self.cut_off_reply(token);
                 self.held.remove(&id);
                 self.worker(request, reply);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -134,6 +134,10 @@
         answer: CloudAnswer,
     },
     Beat(Beat),
+    /// A worker did not take a direct command, or its answer was lost.
+    CommandFailed {
+        machine: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -189,6 +193,14 @@
         since: u64,
     },
     Beat(Beat),
+    /// One direct command to a worker, never repeated.
+    Command {
+        machine: String,
+        address: String,
+        session: u64,
+        token: u64,
+        orders: Vec<Order>,
+    },
 }
 
 /// What an outstanding operation is for.
@@ -265,6 +277,10 @@
     pub(crate) deleted: BTreeSet<String>,
     delete_tried: HashMap<String, Millis>,
     hire_tried: HashMap<u64, Millis>,
+    /// Machines that did not take a direct command, and when.
+    pub(crate) command_failed: HashMap<String, Millis>,
+    /// Since when a directly commanded start has been missing from its machine's reports.
+    pub(crate) missing_since: HashMap<(String, TaskId, u64), Millis>,
     hire_busy: bool,
     finishing: BTreeSet<String>,
     list_at: Millis,
@@ -324,6 +340,8 @@
             deleted: BTreeSet::new(),
             delete_tried: HashMap::new(),
             hire_tried: HashMap::new(),
+            command_failed: HashMap::new(),
+            missing_since: HashMap::new(),
             hire_busy: false,
             finishing: BTreeSet::new(),
             list_at: now + LIST_MS,
@@ -353,6 +371,10 @@
             Event::Watched { epoch, changes } => self.watched(epoch, changes),
             Event::WatchGap => self.reload(),
             Event::Cloud { token, answer } => self.cloud_answer(token, answer),
+            Event::CommandFailed { machine } => {
+                tracing::debug!(machine, "direct command failed");
+                self.command_failed.insert(machine, self.now);
+            }
             Event::Beat(beat) => {
                 if beat.node != self.settings.node {
                     self.siblings
@@ -656,6 +678,7 @@
                     for (task, machine) in &claimed {
                         tracing::info!(%task, machine, "claimed");
                     }
+                    self.command_starts(&claimed);
                     self.lookup_wanted = true;
                 } else {
                     // Another node won, or the outcome is unknown: look again once the
@@ -811,17 +834,13 @@
             }
             draft.put(
                 Key::Machine(host.clone()),
-                Record::Machine(MachineRecord {
-                    type_name: hire.type_name.clone(),
-                    zone: hire.zone.clone(),
-                    spot: hire.spot,
-                    phase: MachinePhase::Booting,
-                    at: wall,
-                    address: String::new(),
-                    bookings: Vec::new(),
-                    images: Vec::new(),
-                    faults: Vec::new(),
-                }),
+                Record::Machine(MachineRecord::new(
+                    &hire.type_name,
+                    &hire.zone,
+                    hire.spot,
+                    MachinePhase::Booting,
+                    wall,
+                )),
             );
         }
         if whole {
@@ -916,17 +935,13 @@
                         let mut draft = Draft::new(&self.cache);
                         draft.put(
                             Key::Machine(host.name.clone()),
-                            Record::Machine(MachineRecord {
-                                type_name: host.type_name,
-                                zone: host.zone,
-                                spot: host.spot,
-                                phase: MachinePhase::Booting,
-                                at: self.wall,
-                                address: host.address,
-                                bookings: Vec::new(),
-                                images: Vec::new(),
-                                faults: Vec::new(),
-                            }),
+                            Record::Machine(MachineRecord::new(
+                                &host.type_name,
+                                &host.zone,
+                                host.spot,
+                                MachinePhase::Booting,
+                                self.wall,
+                            )),
                         );
                         tracing::info!(machine = host.name, "listed machine taken up");
                         let txn = draft.finish();
@@ -998,7 +1013,7 @@
                 id: id.to_string(),
                 room: kind.room.less(&m.used()),
                 stamp,
-                held: self.held.get(id).and_then(|h| h.open_for_starts(self.now)),
+                carrier: self.carrier(id, m),
             });
         }
         let plan = lookup::plan(
@@ -1210,6 +1225,10 @@
             .retain(|id, h| cache.machine(id).is_some() || self.now.saturating_sub(h.at) < 60_000);
         self.idle_since.retain(|id, _| cache.machine(id).is_some());
         self.up_since.retain(|id, _| cache.machine(id).is_some());
+        self.command_failed
+            .retain(|id, _| cache.machine(id).is_some());
+        self.missing_since
+            .retain(|(id, ..), _| cache.machine(id).is_some());
         self.delete_tried
             .retain(|id, _| cache.machine(id).is_some());
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -201,6 +201,9 @@
     /// (session, tally) of the check-in whose answer carries the start.
     #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
     pub armed: Option<(u64, u64)>,
+    /// (session, token) of the direct command that carries the start. One is sent at most.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub direct: Option<(u64, u64)>,
     /// To be stopped, with this reason.
     #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
     pub stop: Option<String>,
@@ -234,9 +237,32 @@
     /// Jobs that failed on it since its last success.
     #[serde(default)]
     pub faults: Vec<String>,
+    /// By how much this machine's token stands above the shared term.
+    #[serde(default)]
+    pub raised: u64,
 }
 
 impl MachineRecord {
+    pub fn new(
+        type_name: &str,
+        zone: &str,
+        spot: bool,
+        phase: MachinePhase,
+        at: WallMs,
+    ) -> MachineRecord {
+        MachineRecord {
+            type_name: type_name.to_string(),
+            zone: zone.to_string(),
+            spot,
+            phase,
+            at,
+            address: String::new(),
+            bookings: Vec::new(),
+            images: Vec::new(),
+            faults: Vec::new(),
+            raised: 0,
+        }
+    }
     pub fn used(&self) -> Room {
         self.bookings
             .iter()
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -117,13 +117,42 @@
 #[test]
 fn a_lost_start_is_sent_again_only_after_the_next_check_in() {
     let mut w = settled(5, 2, 1);
-    w.mishaps.reply_lost = 0.5;
+    w.mishaps.command_lost = 1.0;
+    w.mishaps.reply_lost = 0.25;
     w.submit(0, job("j-1", 2));
     w.until(90_000, "done", |w| done(w, "j-1"));
     assert!(w.lost_starts > 0, "the story lost a start");
     w.check_records();
 }
 
+#[test]
+fn a_direct_start_that_comes_minutes_late_starts_nothing() {
+    // The command is given up and arrives up to a minute later, when the task has run
+    // elsewhere or again, or was cancelled: a raised token makes the worker refuse it.
+    for seed in 0..8 {
+        let mut w = settled(500 + seed, 3, 3);
+        w.mishaps.command_late = 0.7;
+        w.submit(0, job("j-1", 3));
+        let r = w.submit(1, service("j-2", 2));
+        w.answer(r);
+        w.until(60_000, "done", |w| done(w, "j-1"));
+        let starts = w.starts;
+        w.cancel(2, "j-2");
+        w.run(70_000);
+        assert_eq!(w.starts, starts, "nothing starts late");
+        w.check_records();
+    }
+}
+
+#[test]
+fn a_claimant_that_crashes_before_its_command_delays_the_task_only() {
+    let mut w = settled(23, 3, 2);
+    w.mishaps.command_lost = 1.0;
+    w.submit(0, job("j-1", 2));
+    w.until(20_000, "done", |w| done(w, "j-1"));
+    w.check_records();
+}
+
 #[test]
 fn late_repeated_and_lost_check_ins_break_nothing() {
     for seed in 0..6 {
@@ -507,6 +536,8 @@
             report_twice: 0.05,
             reply_lost: 0.03,
             cloud_lost: 0.2,
+            command_lost: 0.05,
+            command_late: 0.05,
         };
         let mut jobs: Vec<String> = Vec::new();
         for step in 0..120 {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -26,6 +26,7 @@
     Phase(String, TaskId, u64, TaskPhase),
     Cloud(usize, u32, Token, CloudOp, bool),
     Boot(String),
+    Command(usize, u32, String, u64, u64, Vec<Order>, bool),
     Restart(usize),
 }
 
@@ -98,6 +99,8 @@
     pub report_twice: f64,
     pub reply_lost: f64,
     pub cloud_lost: f64,
+    pub command_lost: f64,
+    pub command_late: f64,
 }
 
 pub struct World {
@@ -622,6 +625,33 @@
                     self.nodes[n].watching = Some(since);
                     self.at(3, Act::Watch(n, life));
                 }
+                Effect::Command {
+                    machine,
+                    session,
+                    token,
+                    orders,
+                    ..
+                } => {
+                    let (lost, late) = (self.mishaps.command_lost, self.mishaps.command_late);
+                    if self.nodes[n].cut_from_workers || self.chance(lost) {
+                        let event = Event::CommandFailed { machine };
+                        self.at(2_000, Act::Node(n, life, event));
+                        continue;
+                    }
+                    let is_late = self.chance(late);
+                    let delay = match is_late {
+                        true => self.rng.gen_range(2_000..60_000),
+                        false => self.rng.gen_range(1..5),
+                    };
+                    if is_late {
+                        let event = Event::CommandFailed {
+                            machine: machine.clone(),
+                        };
+                        self.at(2_000, Act::Node(n, life, event));
+                    }
+                    let act = Act::Command(n, life, machine, session, token, orders, is_late);
+                    self.at(delay, act);
+                }
                 Effect::Beat(beat) => {
                     for m in 0..self.nodes.len() {
                         if m != n && !self.nodes[n].cut_from_peers && !self.nodes[m].cut_from_peers
@@ -855,6 +885,22 @@
                 }
                 self.at(5, Act::Report(name));
             }
+            Act::Command(n, life, machine, session, token, orders, late) => {
+                let w = self.workers.get_mut(&machine);
+                let Some(w) = w.filter(|w| w.alive && (late || !w.cut)) else {
+                    let event = Event::CommandFailed { machine };
+                    self.at(2_000, Act::Node(n, life, event));
+                    return;
+                };
+                if token < w.token || session != w.session {
+                    self.at(2, Act::Node(n, life, Event::CommandFailed { machine }));
+                    return;
+                }
+                w.token = token;
+                for order in orders {
+                    self.order(&machine, order);
+                }
+            }
             Act::Cloud(n, life, token, op, lost) => {
                 let answer = self.cloud(op);
                 let event = Event::Cloud {
--- a/crates/glenmount/src/cloud.rs
+++ b/crates/glenmount/src/cloud.rs
@@ -106,5 +106,5 @@
 }
 
 pub fn connection(addr: std::net::SocketAddr) -> Http {
-    Http::new(addr, CONNECT)
+    Http::new(addr, CONNECT, false)
 }
--- a/crates/glenmount/src/http.rs
+++ b/crates/glenmount/src/http.rs
@@ -12,12 +12,15 @@
 }
 
 impl Http {
-    pub fn new(addr: SocketAddr, connect_timeout: Duration) -> Http {
+    /// `once`: nothing is ever sent a second time, not even what a closed connection may
+    /// have swallowed.
+    pub fn new(addr: SocketAddr, connect_timeout: Duration, once: bool) -> Http {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
         Http {
             client: Client::builder()
+                .retry_canceled_requests(!once)
                 .pool_max_idle_per_host(8)
                 .pool_idle_timeout(Duration::from_secs(30))
                 .http1_max_buf_size(1 << 20)
@@ -26,6 +29,14 @@
         }
     }
 
+    /// The same connections, for another address.
+    pub fn to(&self, addr: SocketAddr) -> Http {
+        Http {
+            client: self.client.clone(),
+            base: format!("http://{addr}"),
+        }
+    }
+
     /// Status and body, or nothing when no answer came in time. No answer means that the
     /// request may have been executed, or may yet be.
     pub async fn call(
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -8,6 +8,7 @@
 mod settings;
 mod state;
 mod wire;
+mod workers;
 
 use clap::Parser;
 use glenmount_core::node::{Beat, Effect, Event, Node};
@@ -160,6 +161,8 @@
         events_in.clone(),
     );
 
+    let workers = workers::Workers::new(events_in.clone());
+
     let begun = Instant::now();
     let seed = RandomState::new().build_hasher().finish();
     let node_name = config.core.node.clone();
@@ -218,6 +221,15 @@
                 Effect::Watch { since } => {
                     let _ = changes.try_send(since);
                 }
+                Effect::Command {
+                    machine,
+                    address,
+                    session,
+                    token,
+                    orders,
+                } => {
+                    workers.send(machine, &address, wire::command(session, token, &orders));
+                }
                 Effect::Beat(beat) => {
                     let _ = beat_in.send(beat);
                 }
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -332,5 +332,5 @@
 }
 
 pub fn connection(addr: std::net::SocketAddr) -> Http {
-    Http::new(addr, CONNECT)
+    Http::new(addr, CONNECT, false)
 }
--- a/crates/glenmount/src/wire.rs
+++ b/crates/glenmount/src/wire.rs
@@ -242,6 +242,11 @@
     }
 }
 
+pub fn command(session: u64, token: u64, orders: &[Order]) -> String {
+    let orders: Vec<Value> = orders.iter().map(order).collect();
+    json!({"fence": token, "tenure": session, "orders": orders}).to_string()
+}
+
 pub fn worker_reply(reply: &WorkerReply) -> (u16, Value) {
     match reply {
         WorkerReply::Orders { token, orders } => (
