Idle check-ins are answered at once; holding them is gone

Cause: with direct commands a held check-in only delayed the report of exits and let leases age: with all nodes down for 8 s of a 10 s lease, tasks died.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -55,14 +55,8 @@
 /// Milliseconds after which a sibling's last message says nothing about it any more.
 pub const PEER_FRESH_MS: u64 = 2_500;
 
-/// Milliseconds a worker waits for the answer to a check-in, by protocol.
-pub const CHECKIN_LIMIT_MS: u64 = 4_000;
-/// Most that an idle check-in is held, in milliseconds: a finish is only reported by the
-/// check-in after it, and users expect `done` within 3 s.
-pub const HOLD_MAX_MS: u64 = 2_300;
-/// Share of the report interval that an idle check-in is held.
-pub const HOLD_SHARE: f64 = 0.8;
-/// Milliseconds a check-in may wait for a transaction of its own before it is answered.
+/// Milliseconds a check-in may wait for a transaction of its own before it is answered:
+/// workers give up after 4 s.
 pub const CHECKIN_PATIENCE_MS: u64 = 3_200;
 
 /// Milliseconds that workers take to turn to another node (4 s limit and 1 s pause).
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -18,8 +18,6 @@
     pub since: Millis,
     /// A transaction for this check-in is on its way.
     pub busy: bool,
-    /// Since when orders that may wait for company are ready.
-    pub ready_since: Option<Millis>,
 }
 
 impl Held {
@@ -39,9 +37,6 @@
     }
 }
 
-/// Milliseconds that `forget`s wait for a start to travel with them.
-const LINGER_MS: Millis = 100;
-
 impl Node {
     pub(crate) fn check_in(&mut self, request: RequestId, report: Report) {
         let id = report.machine.clone();
@@ -85,7 +80,6 @@
                 report,
                 since: self.now,
                 busy: false,
-                ready_since: None,
             },
         );
         self.note_missing(&id);
@@ -124,46 +118,44 @@
     /// One such transaction is on its way at a time: two of one node would often change the
     /// same team's record, and the loser would have cost budget for nothing.
     pub(crate) fn advance_held(&mut self) {
-        if self.may_write() {
-            let mut draft = Draft::new(&self.cache);
-            let mut machines = Vec::new();
-            let mut held: Vec<&Held> = self
-                .held
-                .values()
-                .filter(|h| !self.busy_machines.contains(&h.report.machine))
-                .collect();
-            held.sort_by_key(|h| h.since);
-            for h in held {
-                let mark = draft.save();
-                self.reconcile(h, &mut draft);
-                if !draft.within(self.settings.txn_ops) || draft.bytes() > TXN_BYTES {
-                    draft.restore(mark);
-                    break;
-                }
-                let id = &h.report.machine;
-                if draft.touches(&Key::Machine(id.clone())) {
-                    machines.push(id.clone());
-                } else {
-                    // Only read: no reason to make its record a condition.
-                    draft.restore(mark);
-                }
+        if !self.may_write() {
+            return;
+        }
+        let mut draft = Draft::new(&self.cache);
+        let (mut changed, mut settled) = (Vec::new(), Vec::new());
+        let mut held: Vec<&Held> = self.held.values().filter(|h| !h.busy).collect();
+        held.sort_by_key(|h| h.since);
+        for h in held {
+            let id = &h.report.machine;
+            if self.busy_machines.contains(id) {
+                continue;
             }
-            if !draft.is_empty() {
-                let txn = draft.finish();
-                for id in &machines {
-                    if let Some(held) = self.held.get_mut(id) {
-                        held.busy = true;
-                    }
-                }
-                self.writing = true;
-                self.commit(txn, Purpose::Reconcile(machines), Priority::Result);
+            let mark = draft.save();
+            self.reconcile(h, &mut draft);
+            if !draft.within(self.settings.txn_ops) || draft.bytes() > TXN_BYTES {
+                draft.restore(mark);
+                break;
+            }
+            if draft.touches(&Key::Machine(id.clone())) {
+                changed.push(id.clone());
+            } else {
+                // Only read: no reason to make its record a condition.
+                draft.restore(mark);
+                settled.push(id.clone());
             }
         }
-        let ids: Vec<String> = self.held.keys().cloned().collect();
-        for id in ids {
-            if self.held.get(&id).is_some_and(|h| !h.busy) {
-                self.try_answer(&id);
+        if !draft.is_empty() {
+            let txn = draft.finish();
+            for id in &changed {
+                if let Some(held) = self.held.get_mut(id) {
+                    held.busy = true;
+                }
             }
+            self.writing = true;
+            self.commit(txn, Purpose::Reconcile(changed), Priority::Result);
+        }
+        for id in settled {
+            self.answer_held(&id);
         }
     }
 
@@ -479,37 +471,14 @@
         orders
     }
 
-    fn try_answer(&mut self, id: &str) {
-        let Some(held) = self.held.get(id) else {
-            return;
-        };
-        let age = self.now - held.since;
-        let orders = self.orders(held);
-        let urgent = orders.iter().any(|o| !matches!(o, Order::Forget { .. }));
-        let ready = match (orders.is_empty(), held.ready_since) {
-            (true, _) => age >= self.settings.hold_ms,
-            (false, _) if urgent && !self.writing => true,
-            (false, None) => {
-                let now = self.now;
-                if let Some(h) = self.held.get_mut(id) {
-                    h.ready_since = Some(now);
-                }
-                false
-            }
-            (false, Some(at)) => self.now >= at + LINGER_MS,
-        };
-        if ready {
-            self.answer_held(id, orders);
-        }
-    }
-
-    fn answer_held(&mut self, id: &str, orders: Vec<Order>) {
+    fn answer_held(&mut self, id: &str) {
         let Some(token) = self.machine_token(id) else {
             return;
         };
         let Some(held) = self.held.remove(id) else {
             return;
         };
+        let orders = self.orders(&held);
         for order in &orders {
             match order {
                 Order::Start { task, attempt } => {
@@ -540,8 +509,7 @@
                 continue;
             }
             if self.now >= held.since + CHECKIN_PATIENCE_MS {
-                let orders = self.orders(held);
-                self.answer_held(&id, orders);
+                self.answer_held(&id);
                 continue;
             }
         }
