--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -258,8 +258,8 @@
 }
 
 /// How well a machine serves a set, best first: image there, not an ordinary machine for
-/// work that may use spot ones, left alone longest.
-type Grade = (bool, bool, u64);
+/// work that may use spot ones, in use already, left alone longest.
+type Grade = (bool, bool, bool, u64);
 
 /// For each free machine the waiting work it serves best; for each set the best machine.
 fn select(
@@ -300,7 +300,13 @@
         let Some((w, warm)) = choice else { continue };
         let waiting = &work[w];
         // Work that may use spot machines leaves the ordinary ones to work that may not.
-        let grade = (!warm, waiting.set.spot && !record.spot, machine.stamp);
+        // Machines in use fill up before empty ones, so that these can be returned.
+        let grade = (
+            !warm,
+            waiting.set.spot && !record.spot,
+            record.bookings.is_empty(),
+            machine.stamp,
+        );
         match best.get(&waiting.set) {
             Some((_, _, held)) if *held <= grade => {}
             _ => {
