A machine whose check-in is overdue is asked directly, and given up when that fails

Cause: silence counted only after the time a worker needs to move to another node (8 to 10 s), though a worker moves only when its node fails it. Now: overdue by 0.5 s, asked, given up after 1.2 s, unless a third of the machines reporting here are silent too.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -63,6 +63,10 @@
 pub const WORKER_MOVE_MS: u64 = 5_000;
 /// Milliseconds of spare time added to a worker's move before its silence counts.
 pub const SILENCE_SPARE_MS: u64 = 1_000;
+/// Milliseconds after an overdue check-in at which its machine is asked directly.
+pub const PROBE_AFTER_MS: u64 = 500;
+/// Milliseconds within which a failed direct command still speaks against a silent machine.
+pub const PROBE_FRESH_MS: u64 = 4_000;
 /// By how much the silence limit grows while most machines are silent: then the network
 /// or the controllers are at fault rather than the machines.
 pub const SILENCE_DOUBT: u64 = 3;
@@ -78,7 +82,7 @@
 /// Milliseconds that starts go by check-ins after a direct command failed.
 pub const COMMAND_PAUSE_MS: u64 = 8_000;
 /// Milliseconds that the answer to a direct command is waited for.
-pub const COMMAND_LIMIT_MS: u64 = 2_000;
+pub const COMMAND_LIMIT_MS: u64 = 1_200;
 
 /// Milliseconds between two readings of the cloud's catalogue.
 pub const CATALOG_MS: u64 = 45_000;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -538,6 +538,40 @@
             .fold(own, Millis::min)
     }
 
+    /// Whether a machine that reported here is quickly given up: its check-in is overdue, a
+    /// direct command sent since has failed, and other machines that report here do so. A
+    /// worker only turns to another node when this one fails it, so there is no need to
+    /// wait for that. Were most of them silent, this node would be what is cut off.
+    fn overdue_here(&self, quick: Millis) -> Vec<String> {
+        let here: Vec<(&String, Millis)> =
+            self.heard
+                .iter()
+                .filter(|(id, h)| {
+                    self.cache.machine(id).is_some_and(|m| {
+                        matches!(m.phase, MachinePhase::Up | MachinePhase::Draining)
+                    }) && !self.newer_elsewhere(id, h)
+                })
+                .map(|(id, h)| (id, self.now - h.at))
+                .collect();
+        let late: Vec<String> = here
+            .iter()
+            .filter(|(_, age)| *age > quick)
+            .map(|(id, _)| id.to_string())
+            .collect();
+        match late.len() * 3 <= here.len() {
+            true => late,
+            false => Vec::new(),
+        }
+    }
+
+    fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
+        self.siblings.values().any(|s| {
+            s.beat.heard.iter().any(|(m, session, tally, _)| {
+                m == id && (*session, *tally) > (own.session, own.tally)
+            })
+        })
+    }
+
     fn silence_limit(&self) -> Millis {
         WORKER_MOVE_MS + self.settings.report_ms * 5 / 4 + SILENCE_SPARE_MS
     }
@@ -552,6 +586,23 @@
         let first_look = self.now - self.started < self.silence_limit() + self.settings.report_ms;
         let limit = self.silence_limit() + self.settings.node_index() * NODE_STAGGER_MS;
         let up = |m: &MachineRecord| matches!(m.phase, MachinePhase::Up | MachinePhase::Draining);
+        let overdue_ms = self.settings.report_ms * 5 / 4 + PROBE_AFTER_MS;
+        for id in self.overdue_here(overdue_ms) {
+            let asked = self.asked_at.get(&id).copied();
+            let heard = self.heard.get(&id).map_or(0, |h| h.at);
+            let failed = self.command_failed.get(&id).copied();
+            if failed.is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS) {
+                self.condemn(&id, "silent, and not reached directly");
+            } else if asked.is_none_or(|at| at < heard + overdue_ms) {
+                self.asked_at.insert(id.clone(), self.now);
+                if let (Some(token), Some(session)) =
+                    (self.machine_token(&id), self.latest_session(&id))
+                {
+                    // No orders: only whether it answers.
+                    self.command(id, session, token, Vec::new());
+                }
+            }
+        }
         let mut ups = 0;
         let mut condemned: Vec<(String, &'static str)> = Vec::new();
         let stuck_after = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -279,6 +279,8 @@
     hire_tried: HashMap<u64, Millis>,
     /// Machines that did not take a direct command, and when.
     pub(crate) command_failed: HashMap<String, Millis>,
+    /// Machines whose check-ins were overdue and that were asked directly, and when.
+    pub(crate) asked_at: HashMap<String, Millis>,
     /// Since when a directly commanded start has been missing from its machine's reports.
     pub(crate) missing_since: HashMap<(String, TaskId, u64), Millis>,
     hire_busy: bool,
@@ -341,6 +343,7 @@
             delete_tried: HashMap::new(),
             hire_tried: HashMap::new(),
             command_failed: HashMap::new(),
+            asked_at: HashMap::new(),
             missing_since: HashMap::new(),
             hire_busy: false,
             finishing: BTreeSet::new(),
@@ -1227,6 +1230,7 @@
         self.up_since.retain(|id, _| cache.machine(id).is_some());
         self.command_failed
             .retain(|id, _| cache.machine(id).is_some());
+        self.asked_at.retain(|id, _| cache.machine(id).is_some());
         self.missing_since
             .retain(|(id, ..), _| cache.machine(id).is_some());
         self.delete_tried
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -244,6 +244,37 @@
     w.check_records();
 }
 
+#[test]
+fn a_dead_machine_is_noticed_before_a_worker_could_have_moved() {
+    let mut w = settled(24, 1, 5);
+    w.submit(0, service("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    w.kill_machine(&name);
+    w.until(6_000, "runs elsewhere", |w| w.running("j-1") == 1);
+}
+
+#[test]
+fn a_node_cut_from_the_workers_deletes_none_of_them() {
+    // All machines fall silent to it at once and none can be asked: it is the node that is
+    // cut off. They turn to its siblings.
+    let mut w = settled(25, 3, 6);
+    w.settings.idle_return_ms = 600_000;
+    for worker in w.workers.values_mut() {
+        worker.node = 0;
+    }
+    w.submit(0, service("j-1", 6));
+    w.until(10_000, "runs", |w| w.running("j-1") == 6);
+    w.nodes[0].cut_from_workers = true;
+    w.run(40_000);
+    assert_eq!(w.starts, 6);
+    assert!(w
+        .workers
+        .values()
+        .filter(|w| !w.tasks.is_empty())
+        .all(|w| w.session == 1));
+}
+
 #[test]
 fn a_machine_behind_a_cut_runs_nothing_twice() {
     // The worker goes on behind the cut; only its deletion frees the task.
