Several rentals at once; check-ins wait for a starting node

Cause: one rental a step, the next only at the next poll: a burst took 40 s to be rented for. A node that is up but has not read the records sent workers away for a second or more.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -98,6 +98,10 @@
 pub const REFUSED_MS: u64 = 15_000;
 /// Milliseconds after which a rental without an outcome is asked again by any node.
 pub const HIRE_RETRY_MS: u64 = 4_000;
+/// Milliseconds after which a rental whose outcome could not be recorded is asked again.
+pub const HIRE_AGAIN_MS: u64 = 300;
+/// Rental requests made in one step: a burst may need several types and zones.
+pub const HIRES_AT_ONCE: usize = 4;
 /// Boot times (multiples of the catalogue's) after which a machine is given up.
 pub const BOOT_GIVE_UP: f64 = 4.0;
 /// Milliseconds added to that, for lists and reports to come in.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -50,6 +50,12 @@
             heard.at = self.now;
             (heard.session, heard.tally) = mark;
         }
+        if !self.loaded && self.state_age() < CHECKIN_PATIENCE_MS {
+            // Just started: the records will be here in a moment, while another node would
+            // be a second away.
+            self.hold(request, report);
+            return;
+        }
         let Some(token) = self.machine_token(&id) else {
             self.worker(request, WorkerReply::NotNow);
             return;
@@ -64,6 +70,12 @@
             self.worker(request, WorkerReply::NotNow);
             return;
         }
+        self.hold(request, report);
+    }
+
+    fn hold(&mut self, request: RequestId, report: Report) {
+        let id = report.machine.clone();
+        let mark = (report.session, report.tally);
         if let Some(old) = self.held.remove(&id) {
             if old.mark() > mark {
                 self.held.insert(id, old);
@@ -118,7 +130,7 @@
     /// One such transaction is on its way at a time: two of one node would often change the
     /// same team's record, and the loser would have cost budget for nothing.
     pub(crate) fn advance_held(&mut self) {
-        if !self.may_write() {
+        if !self.loaded || self.cache.term().is_none() || !self.may_write() {
             return;
         }
         let mut draft = Draft::new(&self.cache);
@@ -500,7 +512,7 @@
             let Some(held) = self.held.get(&id) else {
                 continue;
             };
-            if !state_ok {
+            if !state_ok && (self.loaded || self.now >= held.since + CHECKIN_PATIENCE_MS) {
                 // Starts that were committed for this answer may go; nothing else.
                 let (request, token) = (held.request, self.machine_token(&id).unwrap_or(0));
                 let reply = self.cut_off_reply(token);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -211,7 +211,7 @@
     Ask(RequestId),
     Reconcile(Vec<String>),
     Lookup(Vec<(TaskId, String)>),
-    NewHire(u64),
+    NewHires(Vec<u64>),
     Hire(u64),
     HireDone(u64),
     Condemn(String),
@@ -690,18 +690,24 @@
                     self.lookup_wanted = true;
                 }
             }
-            Purpose::NewHire(n) => {
+            Purpose::NewHires(hires) => {
                 self.hire_busy = false;
                 if committed {
-                    self.send_hire(n);
+                    for n in hires {
+                        self.send_hire(n);
+                    }
                 } else {
                     self.lookup_at = self.lookup_at.min(self.now + 200);
                 }
             }
             Purpose::HireDone(n) => {
-                if !committed {
+                if committed {
+                    // What was refused here is wanted elsewhere.
+                    self.lookup_wanted = true;
+                } else {
                     // The cloud answers the same name the same way: ask it again.
-                    self.hire_tried.insert(n, self.now);
+                    self.hire_tried
+                        .insert(n, self.now + HIRE_AGAIN_MS - HIRE_RETRY_MS);
                 }
             }
             Purpose::Condemn(id) => {
@@ -1043,34 +1049,38 @@
             return;
         }
         let wishes = capacity::wishes(&self.cache, &self.types, work, self.wall);
-        let Some(wish) = wishes.into_iter().next() else {
+        if wishes.is_empty() {
             for w in work.iter().take(3) {
                 tracing::debug!(job = w.job, tasks = w.indices.len(), "waits for a machine");
             }
             return;
-        };
+        }
         let mut draft = Draft::new(&self.cache);
         let mut fleet = match draft.read(&Key::Fleet) {
             Some(Record::Fleet(f)) => f,
             _ => FleetRecord::default(),
         };
-        let n = fleet.next;
-        fleet.next += 1;
+        let mut hires = Vec::new();
+        for wish in wishes.into_iter().take(HIRES_AT_ONCE) {
+            let n = fleet.next;
+            fleet.next += 1;
+            hires.push(n);
+            draft.put(
+                Key::Hire(n),
+                Record::Hire(HireRecord {
+                    type_name: wish.type_name,
+                    zone: wish.zone,
+                    spot: wish.spot,
+                    count: wish.count.min(HIRE_MAX),
+                    node: self.settings.node.clone(),
+                    at: self.wall,
+                }),
+            );
+        }
         draft.put(Key::Fleet, Record::Fleet(fleet));
-        draft.put(
-            Key::Hire(n),
-            Record::Hire(HireRecord {
-                type_name: wish.type_name,
-                zone: wish.zone,
-                spot: wish.spot,
-                count: wish.count.min(HIRE_MAX),
-                node: self.settings.node.clone(),
-                at: self.wall,
-            }),
-        );
         let txn = draft.finish();
         self.hire_busy = true;
-        self.commit(txn, Purpose::NewHire(n), Priority::Claim);
+        self.commit(txn, Purpose::NewHires(hires), Priority::Claim);
     }
 
     // ---- Time ----------------------------------------------------------------------
