Room on ordinary machines is kept for the next services

Cause: batches filled ordinary machines, so a new service waited for an exit or a rental. Room for two services of the largest size stays free of lower ranks, an eighth of a zone at most, and opens to work that has waited two minutes.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -133,6 +133,13 @@
 pub const BODY_BYTES: u64 = 64 * 1024;
 /// Tasks of a job at most, by protocol.
 pub const JOB_TASKS: u64 = 100_000;
+/// Services, as large as the largest, for which room is kept free of lower ranks.
+pub const RESERVE_SERVICES: u64 = 2;
+/// That room is at most one part in so many of a zone's ordinary machines.
+pub const RESERVE_PART: u64 = 8;
+/// Milliseconds after a job's acceptance from which that room is open to it as well, so that
+/// nothing starves on a small site.
+pub const RESERVE_PATIENCE_MS: u64 = 120_000;
 /// Jobs looked at per lookup, best first: bounds the work of one pass.
 pub const LOOKUP_JOBS: usize = 400;
 /// Chunks looked at per job and lookup.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -167,6 +167,60 @@
     pub full: bool,
 }
 
+/// Room on ordinary machines, per zone, that work of lower rank leaves to services: enough
+/// for the largest service there is. Services start at once or late; a batch can wait.
+struct Reserve {
+    per_zone: u64,
+    /// Free and whole room per zone.
+    free: BTreeMap<String, (u64, u64)>,
+    wall: WallMs,
+}
+
+impl Reserve {
+    fn new(
+        cache: &Cache,
+        settings: &Settings,
+        types: &HashMap<String, MachineType>,
+        machines: &[Candidate],
+        wall: WallMs,
+    ) -> Reserve {
+        let largest = cache
+            .jobs()
+            .filter_map(|(_, j, _)| j.open())
+            .filter(|s| s.shape == Shape::Service && s.rank == Rank::Production)
+            .map(|s| s.need.cpus.saturating_mul(s.tasks as u64))
+            .max()
+            .unwrap_or(0);
+        let mut free: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        for c in machines {
+            if let Some(m) = cache.machine(&c.id).filter(|m| !m.spot) {
+                let (free, whole) = free.entry(m.zone.clone()).or_default();
+                *free += c.room.cpus;
+                *whole += types.get(&m.type_name).map_or(0, |t| t.room.cpus);
+            }
+        }
+        Reserve {
+            per_zone: largest * RESERVE_SERVICES / settings.zones.len().max(1) as u64,
+            free,
+            wall,
+        }
+    }
+    fn allows(&self, waiting: &Waiting, machine: &MachineRecord) -> bool {
+        let (free, whole) = self.free.get(&machine.zone).copied().unwrap_or_default();
+        let kept = self.per_zone.min(whole / RESERVE_PART);
+        machine.spot
+            || waiting.urgency.rank.0 == Rank::Production
+            || free >= kept + waiting.set.need.cpus
+            || self.wall > waiting.at + RESERVE_PATIENCE_MS
+    }
+    fn take(&mut self, machine: &MachineRecord, cpus: u64) {
+        if !machine.spot {
+            let (free, _) = self.free.entry(machine.zone.clone()).or_default();
+            *free = free.saturating_sub(cpus);
+        }
+    }
+}
+
 /// One round of the paper's lookup, packed into one transaction: candidates are chosen and
 /// claimed until no free machine serves any set, or the transaction is full.
 pub fn plan(
@@ -180,8 +234,9 @@
     let mut draft = Draft::new(cache);
     let mut result = Plan::default();
     let mut barred: BTreeSet<(usize, usize)> = BTreeSet::new();
+    let mut reserve = Reserve::new(cache, settings, types, machines, wall);
     loop {
-        let picks = select(cache, work, machines, &barred);
+        let picks = select(cache, work, machines, &barred, &reserve);
         if picks.is_empty() {
             break;
         }
@@ -199,7 +254,7 @@
             };
             let mut took = 0;
             while let Some(&index) = waiting.indices.first() {
-                if !machine.room.fits(&waiting.set.need) {
+                if !machine.room.fits(&waiting.set.need) || !reserve.allows(waiting, record) {
                     break;
                 }
                 let task = TaskId {
@@ -225,6 +280,7 @@
                 match got {
                     Ok(()) => {
                         machine.room = machine.room.less(&waiting.set.need);
+                        reserve.take(record, waiting.set.need.cpus);
                         *waiting.zones.zones.entry(record.zone.clone()).or_default() += 1;
                         waiting.indices.remove(0);
                         result.claimed.push((task, machine.id.clone()));
@@ -267,6 +323,7 @@
     work: &[Waiting],
     machines: &[Candidate],
     barred: &BTreeSet<(usize, usize)>,
+    reserve: &Reserve,
 ) -> Vec<(usize, usize)> {
     let mut best: BTreeMap<&CapabilitySet, (usize, usize, Grade)> = BTreeMap::new();
     for (m, machine) in machines.iter().enumerate() {
@@ -279,6 +336,7 @@
             if waiting.indices.is_empty()
                 || barred.contains(&(w, m))
                 || !machine.room.fits(&waiting.set.need)
+                || !reserve.allows(waiting, record)
                 || zone_room(spec_of(cache, waiting), &waiting.zones, &record.zone) == 0
                 || !spec_of(cache, waiting).allows(&record.type_name, &record.zone, record.spot)
             {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -414,6 +414,34 @@
     }
 }
 
+#[test]
+fn a_batch_leaves_room_for_the_next_service() {
+    let mut w = settled(26, 3, 10);
+    w.capacity = 0;
+    w.run_ms = 40_000;
+    let mut small = service("j-1", 2);
+    small.need.cpus = 1_000;
+    w.submit(0, small.clone());
+    w.until(10_000, "runs", |w| w.running("j-1") == 2);
+    w.submit(1, job("j-2", 40));
+    w.run(5_000);
+    assert!(w.running("j-2") >= 14, "most of the machines work");
+    small.id = "j-3".into();
+    w.submit(2, small);
+    w.until(1_500, "the next service runs at once", |w| {
+        w.running("j-3") == 2
+    });
+}
+
+#[test]
+fn a_small_site_keeps_nothing_back() {
+    let mut w = settled(27, 1, 1);
+    w.capacity = 0;
+    w.submit(0, service("j-1", 1));
+    w.submit(0, job("j-2", 1));
+    w.until(20_000, "done", |w| done(w, "j-2"));
+}
+
 #[test]
 fn a_long_job_is_cut_into_chunks_that_appear_when_needed() {
     let mut w = settled(13, 2, 4);
