--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -331,13 +331,8 @@
     }
 
     fn latest_session(&self, id: &str) -> Option<u64> {
-        let told = self
-            .siblings
-            .values()
-            .flat_map(|s| s.beat.heard.iter())
-            .filter(|(m, ..)| m == id)
-            .map(|(_, session, ..)| *session);
-        told.chain(self.heard.get(id).map(|h| h.session)).max()
+        let own = self.heard.get(id).map(|h| h.session);
+        own.max(self.told.get(id).map(|h| h.session))
     }
 
     /// Sends the starts of a committed claim. Each is sent once: were it sent again, a late
@@ -536,18 +531,24 @@
     fn silence(&self, id: &str) -> Millis {
         let seen = self.up_since.get(id).copied().unwrap_or(self.now);
         let own = self.heard.get(id).map_or(seen, |h| h.at.max(seen));
-        let own = self.now - own;
-        self.siblings
-            .values()
-            .flat_map(|s| {
-                let since = self.now - s.at;
-                s.beat
-                    .heard
-                    .iter()
-                    .filter(move |(m, ..)| m == id)
-                    .map(move |(_, _, _, age)| age + since)
-            })
-            .fold(own, Millis::min)
+        let told = self.told.get(id).map_or(0, |h| h.at);
+        self.now - own.max(told)
+    }
+
+    /// Keeps what siblings say they heard. It must outlive their next beat: a node that has
+    /// just restarted has heard of nothing, and machines that had reported to it would seem
+    /// silent for as long as this node has not heard of them.
+    pub(crate) fn told_of(&mut self, beat: &Beat) {
+        for (id, session, tally, age) in &beat.heard {
+            let at = self.now.saturating_sub(*age);
+            let told = self.told.entry(id.clone()).or_insert(Heard {
+                at,
+                session: 0,
+                tally: 0,
+            });
+            told.at = told.at.max(at);
+            (told.session, told.tally) = (told.session, told.tally).max((*session, *tally));
+        }
     }
 
     /// Whether a machine that reported here is quickly given up: its check-in is overdue, a
@@ -577,11 +578,9 @@
     }
 
     fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
-        self.siblings.values().any(|s| {
-            s.beat.heard.iter().any(|(m, session, tally, _)| {
-                m == id && (*session, *tally) > (own.session, own.tally)
-            })
-        })
+        self.told
+            .get(id)
+            .is_some_and(|t| (t.session, t.tally) > (own.session, own.tally))
     }
 
     fn silence_limit(&self) -> Millis {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -267,6 +267,8 @@
     types_busy: bool,
     pub(crate) held: BTreeMap<String, Held>,
     pub(crate) heard: HashMap<String, Heard>,
+    /// What siblings said they heard of machines.
+    pub(crate) told: HashMap<String, Heard>,
     pub(crate) siblings: BTreeMap<String, Sibling>,
     pub(crate) gone: VecDeque<String>,
     pub(crate) idle_since: HashMap<String, Millis>,
@@ -333,6 +335,7 @@
             types_busy: false,
             held: BTreeMap::new(),
             heard: HashMap::new(),
+            told: HashMap::new(),
             siblings: BTreeMap::new(),
             gone: VecDeque::new(),
             idle_since: HashMap::new(),
@@ -380,6 +383,7 @@
             }
             Event::Beat(beat) => {
                 if beat.node != self.settings.node {
+                    self.told_of(&beat);
                     self.siblings
                         .insert(beat.node.clone(), Sibling { at: self.now, beat });
                 }
@@ -1236,6 +1240,7 @@
         self.seen_since.retain(|k, _| cache.get(k).is_some());
         self.heard
             .retain(|id, h| cache.machine(id).is_some() || self.now.saturating_sub(h.at) < 60_000);
+        self.told.retain(|id, _| cache.machine(id).is_some());
         self.idle_since.retain(|id, _| cache.machine(id).is_some());
         self.up_since.retain(|id, _| cache.machine(id).is_some());
         self.command_failed
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -254,6 +254,25 @@
     w.until(6_000, "runs elsewhere", |w| w.running("j-1") == 1);
 }
 
+#[test]
+fn a_node_that_restarts_makes_no_machine_seem_silent() {
+    // Its first beat has heard of nothing. Siblings must remember what it said before.
+    for seed in 0..6 {
+        let mut w = settled(600 + seed, 3, 6);
+        w.settings.idle_return_ms = 600_000;
+        for worker in w.workers.values_mut() {
+            worker.node = 0;
+        }
+        w.submit(0, service("j-1", 6));
+        w.run(30_000);
+        w.crash(0, 3_500);
+        w.run(20_000);
+        assert_eq!(w.starts, 6);
+        let used = w.workers.values().filter(|w| !w.tasks.is_empty());
+        assert!(used.count() > 0 && w.running("j-1") == 6);
+    }
+}
+
 #[test]
 fn a_node_cut_from_the_workers_deletes_none_of_them() {
     // All machines fall silent to it at once and none can be asked: it is the node that is
