A refused direct command shows that a machine lives

Cause: after all nodes had crashed, workers with a new session refused the direct question (409); that counted as not reached, and healthy machines with up to 27 tasks were deleted.

--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -601,7 +601,7 @@
         for id in self.overdue_here(overdue_ms) {
             let asked = self.asked_at.get(&id).copied();
             let heard = self.heard.get(&id).map_or(0, |h| h.at);
-            let failed = self.command_failed.get(&id).copied();
+            let failed = self.unreached.get(&id).copied();
             if failed.is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS) {
                 self.condemn(&id, "silent, and not reached directly");
             } else if asked.is_none_or(|at| at < heard + overdue_ms) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -137,6 +137,8 @@
     /// A worker did not take a direct command, or its answer was lost.
     CommandFailed {
         machine: String,
+        /// It answered, but refused: the machine lives.
+        refused: bool,
     },
 }
 
@@ -281,6 +283,8 @@
     hire_tried: HashMap<u64, Millis>,
     /// Machines that did not take a direct command, and when.
     pub(crate) command_failed: HashMap<String, Millis>,
+    /// Machines that did not even answer one.
+    pub(crate) unreached: HashMap<String, Millis>,
     /// Machines whose check-ins were overdue and that were asked directly, and when.
     pub(crate) asked_at: HashMap<String, Millis>,
     /// Since when a directly commanded start has been missing from its machine's reports.
@@ -346,6 +350,7 @@
             delete_tried: HashMap::new(),
             hire_tried: HashMap::new(),
             command_failed: HashMap::new(),
+            unreached: HashMap::new(),
             asked_at: HashMap::new(),
             missing_since: HashMap::new(),
             hire_busy: false,
@@ -377,8 +382,11 @@
             Event::Watched { epoch, changes } => self.watched(epoch, changes),
             Event::WatchGap => self.reload(),
             Event::Cloud { token, answer } => self.cloud_answer(token, answer),
-            Event::CommandFailed { machine } => {
-                tracing::debug!(machine, "direct command failed");
+            Event::CommandFailed { machine, refused } => {
+                tracing::debug!(machine, refused, "direct command failed");
+                if !refused {
+                    self.unreached.insert(machine.clone(), self.now);
+                }
                 self.command_failed.insert(machine, self.now);
             }
             Event::Beat(beat) => {
@@ -1245,6 +1253,7 @@
         self.up_since.retain(|id, _| cache.machine(id).is_some());
         self.command_failed
             .retain(|id, _| cache.machine(id).is_some());
+        self.unreached.retain(|id, _| cache.machine(id).is_some());
         self.asked_at.retain(|id, _| cache.machine(id).is_some());
         self.missing_since
             .retain(|(id, ..), _| cache.machine(id).is_some());
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -633,7 +633,10 @@
                 } => {
                     let (lost, late) = (self.mishaps.command_lost, self.mishaps.command_late);
                     if self.nodes[n].cut_from_workers || self.chance(lost) {
-                        let event = Event::CommandFailed { machine };
+                        let event = Event::CommandFailed {
+                            machine,
+                            refused: false,
+                        };
                         self.at(2_000, Act::Node(n, life, event));
                         continue;
                     }
@@ -645,6 +648,7 @@
                     if is_late {
                         let event = Event::CommandFailed {
                             machine: machine.clone(),
+                            refused: false,
                         };
                         self.at(2_000, Act::Node(n, life, event));
                     }
@@ -887,12 +891,19 @@
             Act::Command(n, life, machine, session, token, orders, late) => {
                 let w = self.workers.get_mut(&machine);
                 let Some(w) = w.filter(|w| w.alive && (late || !w.cut)) else {
-                    let event = Event::CommandFailed { machine };
+                    let event = Event::CommandFailed {
+                        machine,
+                        refused: false,
+                    };
                     self.at(2_000, Act::Node(n, life, event));
                     return;
                 };
                 if token < w.token || session != w.session {
-                    self.at(2, Act::Node(n, life, Event::CommandFailed { machine }));
+                    let refused = true;
+                    self.at(
+                        2,
+                        Act::Node(n, life, Event::CommandFailed { machine, refused }),
+                    );
                     return;
                 }
                 w.token = token;
--- a/crates/glenmount/src/workers.rs
+++ b/crates/glenmount/src/workers.rs
@@ -44,8 +44,10 @@
                 }
                 _ => None,
             };
-            if !matches!(answer, Some((200, _))) {
-                let _ = core.send(Event::CommandFailed { machine }).await;
+            let status = answer.map(|(status, _)| status);
+            if status != Some(200) {
+                let refused = status.is_some();
+                let _ = core.send(Event::CommandFailed { machine, refused }).await;
             }
         });
     }
