Dear machines are emptied when their services fit elsewhere

Cause: after a busy time a few replicas kept a 64-processor machine for minutes; idle machines alone were returned. One task is moved at a time, to where its image is, half a second each. After 30 quiet seconds it gave up machines that the next burst needed; now 75.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -106,6 +106,82 @@
     wishes
 }
 
+/// A machine that costs much for what it still does and whose services all fit elsewhere,
+/// on machines that have their images. Emptied, it can be returned.
+pub fn dispensable(
+    cache: &Cache,
+    types: &HashMap<String, MachineType>,
+    old_enough: impl Fn(&str) -> bool,
+) -> Option<String> {
+    let cheapest = types
+        .values()
+        .map(|t| t.price / t.room.cpus.max(1) as f64)
+        .fold(f64::INFINITY, f64::min);
+    let mut candidates: Vec<(f64, &str)> = Vec::new();
+    for (id, m, _) in cache.machines() {
+        let Some(kind) = types.get(&m.type_name) else {
+            continue;
+        };
+        let services_only = m.bookings.iter().all(|b| {
+            cache
+                .job(&b.job)
+                .and_then(|j| j.open())
+                .is_some_and(|s| s.shape == Shape::Service)
+        });
+        let price = if m.spot { kind.spot_price } else { kind.price };
+        let used = m.used().cpus.max(1) as f64;
+        if m.phase == MachinePhase::Up
+            && !m.bookings.is_empty()
+            && services_only
+            && price / used >= cheapest * DISPENSABLE_PRICE
+            && old_enough(id)
+        {
+            candidates.push((price, id));
+        }
+    }
+    candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(b.1)));
+    candidates
+        .into_iter()
+        .map(|(_, id)| id.to_string())
+        .find(|id| fits_elsewhere(cache, types, id))
+}
+
+fn fits_elsewhere(cache: &Cache, types: &HashMap<String, MachineType>, id: &str) -> bool {
+    let Some(leaving) = cache.machine(id) else {
+        return false;
+    };
+    let mut others: Vec<(&MachineRecord, Room)> = cache
+        .machines()
+        .filter(|(other, m, _)| *other != id && m.phase == MachinePhase::Up && !m.spot)
+        .filter_map(|(_, m, _)| Some((m, types.get(&m.type_name)?.room.less(&m.used()))))
+        .collect();
+    for b in &leaving.bookings {
+        let Some(spec) = cache.job(&b.job).and_then(|j| j.open()) else {
+            return false;
+        };
+        // Only within its zone: what the zone may hold does not change then.
+        let place = others.iter_mut().find(|(m, room)| {
+            m.zone == leaving.zone
+                && room.fits(&b.need)
+                && m.has_image(&spec.image)
+                && spec.allows(&m.type_name, &m.zone, m.spot)
+        });
+        match place {
+            Some((_, room)) => *room = room.less(&b.need),
+            None => return false,
+        }
+    }
+    // What is left must still take a new service of the largest size at once.
+    let largest = cache
+        .jobs()
+        .filter_map(|(_, j, _)| j.open())
+        .filter(|s| s.shape == Shape::Service)
+        .map(|s| s.need.cpus.saturating_mul(s.tasks as u64))
+        .max()
+        .unwrap_or(0);
+    others.iter().map(|(_, room)| room.cpus).sum::<u64>() >= largest * RESERVE_SERVICES
+}
+
 fn cheapest(
     types: &HashMap<String, MachineType>,
     fleet: &FleetRecord,
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -109,6 +109,14 @@
 /// Milliseconds a machine stays idle before it is returned: the minimum charge is 60 s and
 /// the next work of the same kind usually comes within it.
 pub const IDLE_RETURN_MS: u64 = 45_000;
+/// A machine is emptied when it costs so many times the cheapest ordinary price for each
+/// processor in use: below that, moving its services saves too little.
+pub const DISPENSABLE_PRICE: f64 = 2.0;
+/// Milliseconds a machine must have been up, and nothing have waited, before that: after
+/// 30 s machines were given up that the next burst could not get back.
+pub const DISPENSABLE_AFTER_MS: u64 = 75_000;
+/// Milliseconds between two moves of a service's tasks: each costs it half a second.
+pub const MOVE_GAP_MS: u64 = 2_000;
 /// Milliseconds between two deletion requests for the same machine.
 pub const DELETE_RETRY_MS: u64 = 3_000;
 /// Machines per deletion request at most, by protocol.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -376,6 +376,35 @@
         }
     }
 
+    /// Stops one booked task at once, with time to save.
+    pub(crate) fn command_stop(&mut self, id: &str, task: &TaskId) {
+        let found = self.cache.machine(id).and_then(|m| {
+            m.bookings
+                .iter()
+                .find(|b| b.task() == *task && b.stop.is_some())
+        });
+        let Some(attempt) = found.map(|b| b.attempt) else {
+            return;
+        };
+        let grace_s = self.grace_s(&task.job);
+        if let (Some(token), Some(session)) = (self.machine_token(id), self.latest_session(id)) {
+            let task = task.clone();
+            tracing::info!(%task, machine = id, "moved");
+            let orders = vec![Order::Stop {
+                task,
+                attempt,
+                grace_s,
+            }];
+            self.command(id.to_string(), session, token, orders);
+        }
+    }
+
+    /// Seconds given to a task to save when it is stopped.
+    fn grace_s(&self, job: &str) -> f64 {
+        let spec = self.cache.job(job).and_then(|j| j.open());
+        spec.map_or(0.0, |s| s.save_s * 1.5 + 1.0)
+    }
+
     /// Stops a cancelled job's tasks at once. Late or lost, it does no harm: check-ins stop
     /// them as well.
     pub(crate) fn command_stops(&mut self, job: &str) {
@@ -450,9 +479,7 @@
                             grace_s: 0.0,
                         });
                     } else if stop && phase != TaskPhase::Saving {
-                        let grace_s = job
-                            .and_then(|j| j.open())
-                            .map_or(0.0, |s| s.save_s * 1.5 + 1.0);
+                        let grace_s = self.grace_s(&t.task.job);
                         orders.push(Order::Stop {
                             task: t.task.clone(),
                             attempt: t.attempt,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -216,6 +216,7 @@
     NewHires(Vec<u64>),
     Hire(u64),
     HireDone(u64),
+    Move(String, TaskId),
     Condemn(String),
     Delete(Vec<String>),
     Bury(String),
@@ -296,6 +297,10 @@
     sweep_busy: bool,
     pub(crate) term_busy: bool,
     // Lookup
+    /// Whether the last lookup found anything waiting.
+    waiting_work: bool,
+    quiet_since: Millis,
+    moved_at: Millis,
     pub(crate) lookup_wanted: bool,
     lookup_at: Millis,
     /// A transaction on bookings is on its way.
@@ -359,6 +364,9 @@
             list_busy: false,
             sweep_busy: false,
             term_busy: false,
+            waiting_work: false,
+            quiet_since: now,
+            moved_at: now,
             lookup_wanted: false,
             lookup_at: now,
             writing: false,
@@ -722,6 +730,12 @@
                         .insert(n, self.now + HIRE_AGAIN_MS - HIRE_RETRY_MS);
                 }
             }
+            Purpose::Move(id, task) => {
+                self.written(&answer);
+                if committed {
+                    self.command_stop(&id, &task);
+                }
+            }
             Purpose::Condemn(id) => {
                 self.busy_machines.remove(&id);
                 if committed {
@@ -1004,6 +1018,75 @@
         self.commit(txn, Purpose::Condemn(id.to_string()), Priority::Claim);
     }
 
+    /// Empties dear machines whose services fit elsewhere, one task at a time, and takes the
+    /// services off machines that are being drained.
+    fn move_services(&mut self) {
+        let moving = self
+            .cache
+            .machines()
+            .any(|(_, m, _)| m.bookings.iter().any(|b| b.stop.is_some()));
+        if self.waiting_work || self.cache.hires().next().is_some() {
+            self.quiet_since = self.now;
+        }
+        if moving
+            || self.waiting_work
+            || !self.may_write()
+            || self.now < self.moved_at + MOVE_GAP_MS
+        {
+            return;
+        }
+        self.moved_at = self.now;
+        let draining = self
+            .cache
+            .machines()
+            .find(|(_, m, _)| {
+                m.phase == MachinePhase::Draining && m.bookings.iter().any(|b| self.movable(b))
+            })
+            .map(|(id, _, _)| id.to_string());
+        let mut draft = Draft::new(&self.cache);
+        if let Some(id) = draining {
+            let Some(mut machine) = draft.machine(&id) else {
+                return;
+            };
+            let Some(at) = machine.bookings.iter().position(|b| self.movable(b)) else {
+                return;
+            };
+            machine.bookings[at].stop = Some("moved".into());
+            let task = machine.bookings[at].task();
+            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+            let txn = draft.finish();
+            self.writing = true;
+            self.commit(txn, Purpose::Move(id, task), Priority::Claim);
+        } else if self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
+            let now = self.now;
+            let old = |id: &str| {
+                self.up_since
+                    .get(id)
+                    .is_some_and(|at| now >= at + DISPENSABLE_AFTER_MS)
+            };
+            let Some(id) = capacity::dispensable(&self.cache, &self.types, old) else {
+                return;
+            };
+            let Some(mut machine) = draft.machine(&id) else {
+                return;
+            };
+            tracing::info!(machine = id, bookings = machine.bookings.len(), "emptying");
+            machine.phase = MachinePhase::Draining;
+            draft.put(Key::Machine(id), Record::Machine(machine));
+            let txn = draft.finish();
+            self.commit(txn, Purpose::Sweep, Priority::Housekeeping);
+        }
+    }
+
+    fn movable(&self, b: &Booking) -> bool {
+        b.stop.is_none()
+            && self
+                .cache
+                .job(&b.job)
+                .and_then(|j| j.open())
+                .is_some_and(|s| s.shape == Shape::Service)
+    }
+
     // ---- Lookup --------------------------------------------------------------------
 
     fn look_up(&mut self) {
@@ -1016,6 +1099,7 @@
         let jitter = self.rng.gen_range(0..POLL_MS / 4);
         self.lookup_at = self.now + POLL_MS + jitter;
         let mut work = lookup::waiting(&self.cache, &self.settings, self.wall);
+        self.waiting_work = !work.is_empty();
         if work.is_empty() {
             return;
         }
@@ -1163,6 +1247,7 @@
                 self.cloud(CloudOp::List { after: None }, Purpose::Hosts);
             }
             self.sweep();
+            self.move_services();
         }
     }
 
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -433,6 +433,42 @@
     }
 }
 
+#[test]
+fn a_dear_machine_is_emptied_and_returned_when_its_services_fit_elsewhere() {
+    let mut w = settled(28, 3, 0);
+    w.capacity = 0;
+    for slot in 0..3 {
+        w.crash(slot, 10);
+    }
+    w.settings.idle_return_ms = 600_000;
+    let dear = w.boot_machine("large", "east", false, 10);
+    w.run(4_000);
+    let mut small = service("j-1", 1);
+    small.need.cpus = 500;
+    w.submit(0, small);
+    w.until(10_000, "runs", |w| {
+        w.machine_of("j-1").as_deref() == Some(dear.as_str())
+    });
+    for i in 0..2 {
+        w.boot_machine("small", "east", false, 10 + i);
+    }
+    // The images come with work: a short service on each.
+    w.run(3_000);
+    for worker in 1..3 {
+        let mut fill = service(&format!("j-{}", worker + 1), 1);
+        fill.need.cpus = 3_500;
+        fill.types = Some(vec!["small".into()]);
+        w.submit(0, fill);
+    }
+    w.run(5_000);
+    w.cancel(0, "j-2");
+    w.cancel(0, "j-3");
+    w.until(200_000, "moved", |w| {
+        w.deleted.contains(&dear) && w.running("j-1") == 1
+    });
+    w.check_records();
+}
+
 #[test]
 fn a_batch_leaves_room_for_the_next_service() {
     let mut w = settled(26, 3, 10);
