Preemption: young tasks of lower rank are stopped for what waits

Cause: urgent arrays waited 3 to 30 s for exits on full machines. Up to 45 s of work may be wasted for high rank (12 s was tried: no effect, few tasks qualified), any amount for services.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -115,6 +115,18 @@
 /// Milliseconds a machine must have been up, and nothing have waited, before that: after
 /// 30 s machines were given up that the next burst could not get back.
 pub const DISPENSABLE_AFTER_MS: u64 = 75_000;
+/// Milliseconds of work that may be wasted by stopping a task for one of high rank; with
+/// 12 s hardly any task qualified when it mattered. Services
+/// may waste more: until one is up it serves nobody.
+pub const PREEMPT_WASTE_MS: u64 = 45_000;
+/// Milliseconds that work waits before others are stopped for it: room often comes by itself.
+pub const PREEMPT_AFTER_MS: u64 = 250;
+/// Milliseconds between two rounds of stops.
+pub const PREEMPT_GAP_MS: u64 = 500;
+/// Tasks stopped in one round.
+pub const PREEMPT_TASKS: usize = 8;
+/// Revisions whose times are remembered, to tell how old an attempt is.
+pub const EPOCHS_REMEMBERED: usize = 4_000;
 /// Milliseconds between two moves of a service's tasks: each costs it half a second.
 pub const MOVE_GAP_MS: u64 = 2_000;
 /// Milliseconds between two deletion requests for the same machine.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod machines;
 pub mod model;
 pub mod node;
+pub mod preempt;
 pub mod records;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -389,7 +389,8 @@
         let grace_s = self.grace_s(&task.job);
         if let (Some(token), Some(session)) = (self.machine_token(id), self.latest_session(id)) {
             let task = task.clone();
-            tracing::info!(%task, machine = id, "moved");
+            let why = found.and_then(|b| b.stop.as_deref()).unwrap_or_default();
+            tracing::info!(%task, machine = id, why, "stop sent");
             let orders = vec![Order::Stop {
                 task,
                 attempt,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,6 +6,7 @@
 use crate::lookup::{self, Candidate};
 use crate::machines::Held;
 use crate::model::*;
+use crate::preempt;
 use crate::records::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -216,7 +217,7 @@
     NewHires(Vec<u64>),
     Hire(u64),
     HireDone(u64),
-    Move(String, TaskId),
+    Stop(Vec<(String, TaskId)>),
     Condemn(String),
     Delete(Vec<String>),
     Bury(String),
@@ -299,6 +300,9 @@
     // Lookup
     /// Whether the last lookup found anything waiting.
     waiting_work: bool,
+    preempted_at: Millis,
+    /// Revisions and when they became known here.
+    epochs: VecDeque<(u64, Millis)>,
     quiet_since: Millis,
     moved_at: Millis,
     pub(crate) lookup_wanted: bool,
@@ -365,6 +369,8 @@
             sweep_busy: false,
             term_busy: false,
             waiting_work: false,
+            preempted_at: now,
+            epochs: VecDeque::new(),
             quiet_since: now,
             moved_at: now,
             lookup_wanted: false,
@@ -583,6 +589,10 @@
             self.apply(key, stamp, record, false);
         }
         self.cache.epoch = self.cache.epoch.max(epoch);
+        self.epochs.push_back((self.cache.epoch, self.now));
+        if self.epochs.len() > EPOCHS_REMEMBERED {
+            self.epochs.pop_front();
+        }
         self.changed = true;
         self.caught_up();
     }
@@ -730,10 +740,10 @@
                         .insert(n, self.now + HIRE_AGAIN_MS - HIRE_RETRY_MS);
                 }
             }
-            Purpose::Move(id, task) => {
+            Purpose::Stop(stops) => {
                 self.written(&answer);
-                if committed {
-                    self.command_stop(&id, &task);
+                for (id, task) in stops.iter().filter(|_| committed) {
+                    self.command_stop(id, task);
                 }
             }
             Purpose::Condemn(id) => {
@@ -1056,7 +1066,7 @@
             draft.put(Key::Machine(id.clone()), Record::Machine(machine));
             let txn = draft.finish();
             self.writing = true;
-            self.commit(txn, Purpose::Move(id, task), Priority::Claim);
+            self.commit(txn, Purpose::Stop(vec![(id, task)]), Priority::Claim);
         } else if self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
             let now = self.now;
             let old = |id: &str| {
@@ -1136,10 +1146,64 @@
         }
         if !full {
             work.retain(|w| !w.indices.is_empty());
+            self.preempt(&work);
             self.rent(&work);
         }
     }
 
+    /// Stops work of lower rank for what found no room.
+    fn preempt(&mut self, work: &[lookup::Waiting]) {
+        if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
+            return;
+        }
+        let ripe: Vec<lookup::Waiting> = work
+            .iter()
+            .filter(|w| self.wall >= w.at + PREEMPT_AFTER_MS)
+            .cloned()
+            .collect();
+        if ripe.is_empty() {
+            // What is too fresh is looked at again soon.
+            self.lookup_at = self.lookup_at.min(self.now + PREEMPT_AFTER_MS);
+            return;
+        }
+        let now = self.now;
+        let age = |attempt: u64| {
+            let at = self.epochs.partition_point(|(e, _)| *e <= attempt);
+            match self.epochs.get(at) {
+                _ if at == 0 => Millis::MAX,
+                Some((_, t)) => now - t,
+                None => 0,
+            }
+        };
+        let usable = |id: &str| self.recently_heard(id) && !self.busy_machines.contains(id);
+        let stops = preempt::victims(&self.cache, &self.types, &ripe, usable, age);
+        let mut draft = Draft::new(&self.cache);
+        let mut chosen = Vec::new();
+        for (id, task) in stops {
+            let mark = draft.save();
+            let Some(mut machine) = draft.machine(&id) else {
+                continue;
+            };
+            let Some(b) = machine.bookings.iter_mut().find(|b| b.task() == task) else {
+                continue;
+            };
+            b.stop = Some("preempted".into());
+            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+            if !draft.within(self.settings.txn_ops) {
+                draft.restore(mark);
+                break;
+            }
+            chosen.push((id, task));
+        }
+        if chosen.is_empty() {
+            return;
+        }
+        self.preempted_at = self.now;
+        let txn = draft.finish();
+        self.writing = true;
+        self.commit(txn, Purpose::Stop(chosen), Priority::Claim);
+    }
+
     fn rent(&mut self, work: &[lookup::Waiting]) {
         if work.is_empty() || self.hire_busy {
             return;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -469,6 +469,29 @@
     w.check_records();
 }
 
+#[test]
+fn work_of_lower_rank_is_stopped_when_that_starts_what_waits() {
+    let mut w = settled(29, 3, 3);
+    w.capacity = 0;
+    w.run_ms = 60_000;
+    w.submit(0, job("j-1", 6));
+    w.until(6_000, "all machines are full", |w| w.running("j-1") == 6);
+    let mut urgent = job("j-2", 2);
+    urgent.rank = Rank::High;
+    w.submit(1, urgent);
+    w.until(4_000, "the urgent runs", |w| w.running("j-2") == 2);
+    assert_eq!(w.running("j-1"), 4, "no more are stopped than needed");
+    let mut equal = job("j-3", 2);
+    equal.rank = Rank::High;
+    w.submit(2, equal);
+    w.run(4_000);
+    assert_eq!(w.running("j-2"), 2, "equals are left alone");
+    w.until(300_000, "all done", |w| {
+        ["j-1", "j-2", "j-3"].iter().all(|id| done(w, id))
+    });
+    w.check_records();
+}
+
 #[test]
 fn a_batch_leaves_room_for_the_next_service() {
     let mut w = settled(26, 3, 10);
