--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -143,6 +143,8 @@
 /// Longest such pause in milliseconds.
 pub const FAIL_PAUSE_MAX_MS: u64 = 30_000;
 
+/// Milliseconds between two rounds of forgetting what is known of machines that are gone.
+pub const FORGET_MS: u64 = 10_000;
 /// Names of deleted machines that are remembered, so that a late report is not taken up.
 pub const GONE_REMEMBERED: usize = 2_000;
 /// Requests of users waiting at once; more are answered 503.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -612,7 +612,10 @@
     }
 
     fn silence_limit(&self) -> Millis {
-        WORKER_MOVE_MS + self.settings.report_ms * 5 / 4 + SILENCE_SPARE_MS
+        let moved = WORKER_MOVE_MS + self.settings.report_ms * 5 / 4;
+        // Up to the end of its lease a machine that nobody hears may still be at work and
+        // about to find another node; after it, its tasks are gone and deletion costs none.
+        moved.max(self.settings.lease_ms) + SILENCE_SPARE_MS
     }
 
     pub(crate) fn recently_heard(&self, id: &str) -> bool {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -314,6 +314,7 @@
     write_retry: Option<(u64, Millis)>,
     last_beat: Millis,
     last_house: Millis,
+    forgot_at: Millis,
 }
 
 impl Node {
@@ -379,6 +380,7 @@
             write_retry: None,
             last_beat: 0,
             last_house: 0,
+            forgot_at: 0,
         }
     }
 
@@ -1299,6 +1301,10 @@
             self.term_busy = true;
             self.commit(txn, Purpose::Term, Priority::User);
         }
+        if self.now >= self.forgot_at + FORGET_MS {
+            self.forgot_at = self.now;
+            self.forget_old();
+        }
         self.bury();
         self.judge_machines();
         self.finish_jobs();
@@ -1393,6 +1399,10 @@
             self.sweep_busy = true;
             self.commit(txn, Purpose::Sweep, Priority::Housekeeping);
         }
+    }
+
+    /// Forgets what belongs to machines that are gone.
+    fn forget_old(&mut self) {
         let cache = &self.cache;
         self.seen_since.retain(|k, _| cache.get(k).is_some());
         self.heard
