--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -605,6 +605,29 @@
         }
     }
 
+    /// Machines that no node has heard for as long as a worker needs to find another node:
+    /// whichever they reported to, they are asked directly. Not if they are many: then it is
+    /// rather the network.
+    fn unheard_by_all(&self) -> Vec<String> {
+        let limit = WORKER_MOVE_MS + self.settings.report_ms * 5 / 4 + SILENCE_SPARE_MS;
+        if self.now - self.started < limit + self.settings.report_ms {
+            return Vec::new();
+        }
+        let (mut ups, mut late) = (0, Vec::new());
+        for (id, m, _) in self.cache.machines() {
+            if matches!(m.phase, MachinePhase::Up | MachinePhase::Draining) {
+                ups += 1;
+                if self.silence(id) > limit {
+                    late.push(id.to_string());
+                }
+            }
+        }
+        match late.len() * 3 <= ups {
+            true => late,
+            false => Vec::new(),
+        }
+    }
+
     fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
         self.told
             .get(id)
@@ -629,9 +652,15 @@
         let limit = self.silence_limit() + self.settings.node_index() * NODE_STAGGER_MS;
         let up = |m: &MachineRecord| matches!(m.phase, MachinePhase::Up | MachinePhase::Draining);
         let overdue_ms = self.settings.report_ms * 5 / 4 + PROBE_AFTER_MS;
-        for id in self.overdue_here(overdue_ms) {
+        let mut overdue = self.overdue_here(overdue_ms);
+        for id in self.unheard_by_all() {
+            if !overdue.contains(&id) {
+                overdue.push(id);
+            }
+        }
+        for id in overdue {
             let asked = self.asked_at.get(&id).copied();
-            let heard = self.heard.get(&id).map_or(0, |h| h.at);
+            let heard = self.now - self.silence(&id);
             let failed = self.unreached.get(&id).copied();
             if failed.is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS) {
                 self.condemn(&id, "silent, and not reached directly");
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -254,6 +254,22 @@
     w.until(6_000, "runs elsewhere", |w| w.running("j-1") == 1);
 }
 
+#[test]
+fn a_machine_that_dies_with_the_node_it_reported_to_is_found_before_its_lease_ends() {
+    let mut w = settled(30, 3, 6);
+    w.settings.idle_return_ms = 600_000;
+    for worker in w.workers.values_mut() {
+        worker.node = 0;
+    }
+    w.submit(1, service("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    w.run(2_000);
+    let name = w.machine_of("j-1").unwrap();
+    w.kill_machine(&name);
+    w.crash(0, 60_000);
+    w.until(11_500, "runs elsewhere", |w| w.running("j-1") == 1);
+}
+
 #[test]
 fn a_node_that_restarts_makes_no_machine_seem_silent() {
     // Its first beat has heard of nothing. Siblings must remember what it said before.
