What can still meet its goal goes first

Cause: on a full cluster the oldest redraws, late in any case, went before those still in time. The earliest deadline or objective still in reach now orders work within a rank.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -162,6 +162,11 @@
 /// Milliseconds after a job's acceptance from which that room is open to it as well, so that
 /// nothing starves on a small site.
 pub const RESERVE_PATIENCE_MS: u64 = 120_000;
+/// Share of a job's estimated run time that must still fit for a goal to be in reach:
+/// estimates are often wrong by half.
+pub const FEASIBLE_SHARE: f64 = 0.6;
+/// Milliseconds after acceptance at which a job is due that has no goal in reach.
+pub const NO_GOAL_MS: u64 = 900_000;
 /// Jobs looked at per lookup, best first: bounds the work of one pass.
 pub const LOOKUP_JOBS: usize = 400;
 /// Chunks looked at per job and lookup.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -41,12 +41,19 @@
     pub at: WallMs,
 }
 
-/// When a job should be complete, as a time of day; jobs without a deadline by acceptance.
-fn due(job: &JobRecord, spec: &JobSpec) -> WallMs {
-    match spec.deadline_s {
-        Some(d) => job.at + (d.max(0.0) * 1000.0) as u64,
-        None => job.at + 600_000,
-    }
+/// When a job should be complete, as a time of day: its deadline, or what the objectives say
+/// of its class - the first of these that it can still meet. What can meet none comes after
+/// everything that can, since it is late in any case.
+fn due(job: &JobRecord, spec: &JobSpec, settings: &Settings, wall: WallMs) -> WallMs {
+    let run_ms = (spec.estimate_s * 1000.0 * FEASIBLE_SHARE) as u64;
+    let deadline = spec.deadline_s.map(|d| (d.max(0.0) * 1000.0) as u64);
+    let goals = settings.goals.get(&spec.class);
+    deadline
+        .iter()
+        .chain(goals.into_iter().flatten())
+        .map(|within| job.at + within)
+        .find(|due| wall + run_ms <= *due)
+        .unwrap_or(job.at + NO_GOAL_MS)
 }
 
 /// Waiting tasks in the order in which they should be served.
@@ -106,7 +113,7 @@
             urgency: Urgency {
                 rank: std::cmp::Reverse(spec.rank),
                 borrowed: false,
-                due: due(job, spec),
+                due: due(job, spec, settings, wall),
             },
             indices,
             zones,
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -139,6 +139,8 @@
     pub nodes: Vec<String>,
     pub zones: Vec<String>,
     pub teams: BTreeMap<String, Team>,
+    /// Per class, milliseconds within which its jobs should be complete, shortest first.
+    pub goals: BTreeMap<String, Vec<u64>>,
     pub report_ms: u64,
     pub lease_ms: u64,
     pub cancel_ms: u64,
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -508,6 +508,23 @@
     w.check_records();
 }
 
+#[test]
+fn what_can_still_meet_its_goal_goes_before_what_is_late_anyway() {
+    let mut w = settled(31, 1, 1);
+    w.capacity = 0;
+    w.run_ms = 20_000;
+    for (i, pause) in [(0, 0), (1, 0), (2, 0), (3, 62_000), (4, 100)] {
+        w.run(pause);
+        let mut spec = job(&format!("j-{i}"), 2);
+        spec.class = "quick".into();
+        spec.tasks = if i < 3 { 4 } else { 1 };
+        w.submit(0, spec);
+    }
+    // The third job is past its goal of a minute; the fourth, accepted later, is not.
+    w.until(60_000, "the fourth is done", |w| done(w, "j-3"));
+    assert!(!done(&w, "j-2"));
+}
+
 #[test]
 fn a_batch_leaves_room_for_the_next_service() {
     let mut w = settled(26, 3, 10);
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -158,6 +158,7 @@
         nodes: (0..count).map(|i| format!("node-{i}")).collect(),
         zones: vec!["east".into(), "west".into()],
         teams,
+        goals: BTreeMap::from([("quick".to_string(), vec![60_000])]),
         report_ms: 1_500,
         lease_ms: 10_000,
         cancel_ms: 35_000,
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -35,6 +35,8 @@
     zones: Vec<String>,
     clock_off_ms: f64,
     teams: Vec<TeamFile>,
+    #[serde(default)]
+    objectives: Vec<ObjectiveFile>,
     workers: Workers,
     state: StateLimits,
     cloud: CloudLimits,
@@ -54,6 +56,14 @@
     gpus_max: f64,
 }
 
+/// An aim of the users'. Kinds that the scheduler has no use for are ignored.
+#[derive(Debug, Deserialize)]
+struct ObjectiveFile {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
 #[derive(Debug, Deserialize)]
 struct Workers {
     report_s: f64,
@@ -189,6 +199,14 @@
             &format!("{} appears twice", t.name),
         )?;
     }
+    let mut goals: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for o in p.objectives.iter().filter(|o| o.kind == "finished") {
+        if let (Some(class), Some(within_s)) = (&o.class, o.within_s) {
+            let within = seconds("settings.objectives.within_s", within_s, 0.0)?;
+            goals.entry(class.clone()).or_default().push(within);
+        }
+    }
+    goals.values_mut().for_each(|g| g.sort());
     let report_ms = seconds("settings.workers.report_s", p.workers.report_s, 0.1)?;
     let lease_ms = seconds("settings.workers.lease_s", p.workers.lease_s, 1.0)?;
     let cancel_ms = seconds("settings.workers.cancel_s", p.workers.cancel_s, 1.0)?;
@@ -229,6 +247,7 @@
             nodes,
             zones: p.zones.clone(),
             teams,
+            goals,
             report_ms,
             lease_ms,
             cancel_ms,
