Under a spot notice, tasks that can save do so and go on elsewhere

Cause: a machine under notice took nothing new, but its tasks ran on until it was taken and lost what they had not saved.

--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -225,6 +225,15 @@
             let step = draft.save();
             if let Some(outcome) = ended {
                 claims::release(draft, id, &task, b.attempt, outcome, wall);
+            } else if reported == Some(TaskPhase::Running)
+                && report.notice_s.is_some()
+                && b.stop.is_none()
+                && job
+                    .and_then(|j| j.open())
+                    .is_some_and(|s| s.checkpoint_s > 0.0)
+            {
+                // The machine is about to be taken: what can save its progress does so now.
+                self.edit_booking(draft, id, b, |b| b.stop = Some("notice".into()));
             } else if reported.is_none() && barred && held.open_for_starts(self.now).is_some() {
                 // The start goes into this answer, once the booking says so.
                 self.edit_booking(draft, id, b, |b| {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -686,6 +686,22 @@
     w.until(60_000, "others run", |w| done(w, "j-2"));
 }
 
+#[test]
+fn under_notice_a_task_that_can_save_goes_on_elsewhere() {
+    let mut w = settled(32, 2, 2);
+    w.run_ms = 20_000;
+    let mut spec = job("j-1", 1);
+    (spec.checkpoint_s, spec.save_s) = (5.0, 1.0);
+    w.submit(0, spec);
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let name = w.machine_of("j-1").unwrap();
+    w.workers.get_mut(&name).unwrap().notice_s = Some(20.0);
+    w.until(8_000, "runs elsewhere", |w| {
+        w.running("j-1") == 1 && w.machine_of("j-1").as_ref() != Some(&name)
+    });
+    w.until(60_000, "done", |w| done(w, "j-1"));
+}
+
 #[test]
 fn a_machine_under_notice_gets_nothing_new() {
     let mut w = settled(21, 2, 2);
