--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -56,7 +56,7 @@
     }
     let known = coming.len();
     for w in work {
-        let Some(spec) = cache.job(&w.job).and_then(|j| j.open()) else {
+        let Some(spec) = cache.open_job(&w.job) else {
             continue;
         };
         let mut zones = w.zones.clone();
@@ -124,8 +124,7 @@
         };
         let services_only = m.bookings.iter().all(|b| {
             cache
-                .job(&b.job)
-                .and_then(|j| j.open())
+                .open_job(&b.job)
                 .is_some_and(|s| s.shape == Shape::Service)
         });
         let price = if m.spot { kind.spot_price } else { kind.price };
@@ -156,7 +155,7 @@
         .filter_map(|(_, m, _)| Some((m, types.get(&m.type_name)?.room.less(&m.used()))))
         .collect();
     for b in &leaving.bookings {
-        let Some(spec) = cache.job(&b.job).and_then(|j| j.open()) else {
+        let Some(spec) = cache.open_job(&b.job) else {
             return false;
         };
         // Only within its zone: what the zone may hold does not change then.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -128,7 +128,7 @@
         .collect();
     let mut kept = Vec::new();
     for mut w in found {
-        let Some(spec) = cache.job(&w.job).and_then(|j| j.open()) else {
+        let Some(spec) = cache.open_job(&w.job) else {
             continue;
         };
         let Some(team) = settings.teams.get(&spec.team) else {
@@ -391,7 +391,6 @@
 fn spec_of<'a>(cache: &'a Cache, waiting: &Waiting) -> &'a JobSpec {
     // `waiting` was made from this cache's open jobs within the same step.
     cache
-        .job(&waiting.job)
-        .and_then(|j| j.open())
+        .open_job(&waiting.job)
         .expect("waiting work belongs to an open job")
 }
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -1,8 +1,7 @@
 //! Machines: their check-ins, the evidence these bring, and machines that fall silent.
 //!
-//! A start travels only in the answer to the check-in recorded in its booking. A worker
-//! sends its next check-in only after it has taken or given up that answer, so a later
-//! check-in without the task proves that the start will never arrive.
+//! A start travels by one direct command, or in the answer to the check-in recorded in its
+//! booking. `reconcile` says what proves that it will never arrive.
 
 use crate::claims::{self, Carrier, Outcome};
 use crate::constants::*;
@@ -353,10 +352,7 @@
                 let same = |b: &&Booking| b.job == task.job && b.index == task.index;
                 m.bookings.iter().find(same)
             });
-            let open = self
-                .cache
-                .job(&task.job)
-                .is_some_and(|j| j.open().is_some());
+            let open = self.cache.open_job(&task.job).is_some();
             if let Some((attempt, (session, token))) = booking
                 .and_then(|b| Some((b.attempt, b.direct?)))
                 .filter(|_| open)
@@ -385,6 +381,13 @@
         }
     }
 
+    /// A command under the machine's current token and session; none if they are not known.
+    fn command_now(&mut self, id: String, orders: Vec<Order>) {
+        if let (Some(token), Some(session)) = (self.machine_token(&id), self.latest_session(&id)) {
+            self.command(id, session, token, orders);
+        }
+    }
+
     /// Stops one booked task at once, with time to save.
     pub(crate) fn command_stop(&mut self, id: &str, task: &TaskId) {
         let found = self.cache.machine(id).and_then(|m| {
@@ -396,22 +399,20 @@
             return;
         };
         let grace_s = self.grace_s(&task.job);
-        if let (Some(token), Some(session)) = (self.machine_token(id), self.latest_session(id)) {
-            let task = task.clone();
-            let why = found.and_then(|b| b.stop.as_deref()).unwrap_or_default();
-            tracing::info!(%task, machine = id, why, "stop sent");
-            let orders = vec![Order::Stop {
-                task,
-                attempt,
-                grace_s,
-            }];
-            self.command(id.to_string(), session, token, orders);
-        }
+        let task = task.clone();
+        let why = found.and_then(|b| b.stop.as_deref()).unwrap_or_default();
+        tracing::info!(%task, machine = id, why, "stop sent");
+        let orders = vec![Order::Stop {
+            task,
+            attempt,
+            grace_s,
+        }];
+        self.command_now(id.to_string(), orders);
     }
 
     /// Seconds given to a task to save when it is stopped.
     fn grace_s(&self, job: &str) -> f64 {
-        let spec = self.cache.job(job).and_then(|j| j.open());
+        let spec = self.cache.open_job(job);
         spec.map_or(0.0, |s| s.save_s * 1.5 + 1.0)
     }
 
@@ -435,11 +436,7 @@
             }
         }
         for (id, orders) in due {
-            if let (Some(token), Some(session)) =
-                (self.machine_token(&id), self.latest_session(&id))
-            {
-                self.command(id, session, token, orders);
-            }
+            self.command_now(id, orders);
         }
     }
 
@@ -504,7 +501,7 @@
             if b.armed == Some(mark)
                 && b.stop.is_none()
                 && held.reported(&task, b.attempt).is_none()
-                && self.cache.job(&b.job).is_some_and(|j| j.open().is_some())
+                && self.cache.open_job(&b.job).is_some()
             {
                 orders.push(Order::Start {
                     task,
@@ -593,16 +590,14 @@
     /// worker only turns to another node when this one fails it, so there is no need to
     /// wait for that. Were most of them silent, this node would be what is cut off.
     fn overdue_here(&self, quick: Millis) -> Vec<String> {
-        let here: Vec<(&String, Millis)> =
-            self.heard
-                .iter()
-                .filter(|(id, h)| {
-                    self.cache.machine(id).is_some_and(|m| {
-                        matches!(m.phase, MachinePhase::Up | MachinePhase::Draining)
-                    }) && !self.newer_elsewhere(id, h)
-                })
-                .map(|(id, h)| (id, self.now - h.at))
-                .collect();
+        let here: Vec<(&String, Millis)> = self
+            .heard
+            .iter()
+            .filter(|(id, h)| {
+                self.cache.machine(id).is_some_and(|m| m.is_up()) && !self.newer_elsewhere(id, h)
+            })
+            .map(|(id, h)| (id, self.now - h.at))
+            .collect();
         let late: Vec<String> = here
             .iter()
             .filter(|(_, age)| *age > quick)
@@ -618,13 +613,13 @@
     /// whichever they reported to, they are asked directly. Not if they are many: then it is
     /// rather the network.
     fn unheard_by_all(&self) -> Vec<String> {
-        let limit = WORKER_MOVE_MS + self.settings.report_ms * 5 / 4 + SILENCE_SPARE_MS;
+        let limit = self.move_time() + SILENCE_SPARE_MS;
         if self.now - self.started < limit + self.settings.report_ms {
             return Vec::new();
         }
         let (mut ups, mut late) = (0, Vec::new());
         for (id, m, _) in self.cache.machines() {
-            if matches!(m.phase, MachinePhase::Up | MachinePhase::Draining) {
+            if m.is_up() {
                 ups += 1;
                 if self.silence(id) > limit {
                     late.push(id.to_string());
@@ -643,8 +638,13 @@
             .is_some_and(|t| (t.session, t.tally) > (own.session, own.tally))
     }
 
+    /// Milliseconds between a worker's last check-in at one node and its first at another.
+    fn move_time(&self) -> Millis {
+        WORKER_MOVE_MS + self.settings.report_ms * 5 / 4
+    }
+
     fn silence_limit(&self) -> Millis {
-        let moved = WORKER_MOVE_MS + self.settings.report_ms * 5 / 4;
+        let moved = self.move_time();
         // Up to the end of its lease a machine that nobody hears may still be at work and
         // about to find another node; after it, its tasks are gone and deletion costs none.
         moved.max(self.settings.lease_ms) + SILENCE_SPARE_MS
@@ -659,7 +659,6 @@
     pub(crate) fn judge_machines(&mut self) {
         let first_look = self.now - self.started < self.silence_limit() + self.settings.report_ms;
         let limit = self.silence_limit() + self.settings.node_index() * NODE_STAGGER_MS;
-        let up = |m: &MachineRecord| matches!(m.phase, MachinePhase::Up | MachinePhase::Draining);
         let overdue_ms = self.settings.report_ms * 5 / 4 + PROBE_AFTER_MS;
         let mut overdue = self.overdue_here(overdue_ms);
         for id in self.unheard_by_all() {
@@ -675,12 +674,8 @@
                 self.condemn(&id, "silent, and not reached directly");
             } else if asked.is_none_or(|at| at < heard + overdue_ms) {
                 self.asked_at.insert(id.clone(), self.now);
-                if let (Some(token), Some(session)) =
-                    (self.machine_token(&id), self.latest_session(&id))
-                {
-                    // No orders: only whether it answers.
-                    self.command(id, session, token, Vec::new());
-                }
+                // No orders: only whether it answers.
+                self.command_now(id, Vec::new());
             }
         }
         let mut ups = 0;
@@ -691,7 +686,7 @@
                 .seen_since
                 .entry(Key::Machine(id.to_string()))
                 .or_insert(self.now);
-            if up(m) {
+            if m.is_up() {
                 self.up_since.entry(id.to_string()).or_insert(self.now);
                 ups += 1;
                 let stuck = m.bookings.iter().any(|b| {
@@ -730,7 +725,7 @@
         let silent: Vec<(String, Millis)> = self
             .cache
             .machines()
-            .filter(|(id, m, _)| up(m) && self.silence(id) > limit)
+            .filter(|(id, m, _)| m.is_up() && self.silence(id) > limit)
             .map(|(id, _, _)| (id.to_string(), self.silence(id)))
             .collect();
         let doubt = if silent.len() * 2 > ups && ups > 2 {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1094,8 +1094,7 @@
         b.stop.is_none()
             && self
                 .cache
-                .job(&b.job)
-                .and_then(|j| j.open())
+                .open_job(&b.job)
                 .is_some_and(|s| s.shape == Shape::Service)
     }
 
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -44,7 +44,7 @@
         let mut victims = Vec::new();
         for b in m.bookings.iter().filter(|b| b.stop.is_none()) {
             staying = staying.plus(&b.need);
-            if let Some(spec) = cache.job(&b.job).and_then(|j| j.open()) {
+            if let Some(spec) = cache.open_job(&b.job) {
                 let saved = spec.checkpoint_s > 0.0;
                 victims.push(Victim {
                     task: b.task(),
@@ -64,7 +64,7 @@
     }
     let mut stops = Vec::new();
     for w in work {
-        let Some(spec) = cache.job(&w.job).and_then(|j| j.open()) else {
+        let Some(spec) = cache.open_job(&w.job) else {
             continue;
         };
         let mut zones = w.zones.clone();
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -263,6 +263,10 @@
             raised: 0,
         }
     }
+    /// Heard of, and not about to be deleted.
+    pub fn is_up(&self) -> bool {
+        matches!(self.phase, MachinePhase::Up | MachinePhase::Draining)
+    }
     pub fn used(&self) -> Room {
         self.bookings
             .iter()
@@ -413,6 +417,11 @@
 }
 
 impl Cache {
+    /// What an open job asks for.
+    pub fn open_job(&self, id: &str) -> Option<&JobSpec> {
+        self.job(id).and_then(|j| j.open())
+    }
+
     accessors!(job, jobs, Job, JobRecord, str);
     accessors!(machine, machines, Machine, MachineRecord, str);
     accessors!(team, teams, Team, TeamRecord, str);
