--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -25,11 +25,13 @@
 }
 
 /// What to rent for work that no machine, present or on its way, can take: per set the
-/// cheapest way to serve it, offers refused lately passed over.
+/// cheapest way to serve it, offers refused lately passed over. `pending` tells whether a
+/// machine that a rental brought is still on its way.
 pub fn wishes(
     cache: &Cache,
     types: &HashMap<String, MachineType>,
     work: &[Waiting],
+    pending: impl Fn(&str) -> bool,
     wall: WallMs,
 ) -> Vec<Wish> {
     let fleet = cache.fleet();
@@ -52,7 +54,11 @@
         }
     }
     for (_, h, _) in cache.hires() {
-        push(&h.type_name, &h.zone, h.spot, h.count);
+        let pending = match &h.hosts {
+            Some(hosts) => hosts.iter().filter(|id| pending(id)).count() as u32,
+            None => h.count,
+        };
+        push(&h.type_name, &h.zone, h.spot, pending);
     }
     let known = coming.len();
     for w in work {
@@ -122,15 +128,15 @@
         let Some(kind) = types.get(&m.type_name) else {
             continue;
         };
-        let services_only = m.bookings.iter().all(|b| {
+        let services_only = cache.bookings(id).all(|(task, _)| {
             cache
-                .open_job(&b.job)
+                .open_job(&task.job)
                 .is_some_and(|s| s.shape == Shape::Service)
         });
         let price = if m.spot { kind.spot_price } else { kind.price };
-        let used = m.used().cpus.max(1) as f64;
+        let used = cache.used(id).cpus.max(1) as f64;
         if m.phase == MachinePhase::Up
-            && !m.bookings.is_empty()
+            && cache.booked_tasks(id) > 0
             && services_only
             && price / used >= cheapest * DISPENSABLE_PRICE
             && old_enough(id)
@@ -149,36 +155,35 @@
     let Some(leaving) = cache.machine(id) else {
         return false;
     };
-    let mut others: Vec<(&MachineRecord, Room)> = cache
+    let mut others: Vec<(&str, &MachineRecord, Room)> = cache
         .machines()
         .filter(|(other, m, _)| *other != id && m.phase == MachinePhase::Up && !m.spot)
-        .filter_map(|(_, m, _)| Some((m, types.get(&m.type_name)?.room.less(&m.used()))))
+        .filter_map(|(id, m, _)| Some((id, m, types.get(&m.type_name)?.room.less(&cache.used(id)))))
         .collect();
-    for b in &leaving.bookings {
-        let Some(spec) = cache.open_job(&b.job) else {
+    for (task, placed) in cache.bookings(id) {
+        let Some(spec) = cache.open_job(&task.job) else {
             return false;
         };
         // Only within its zone: what the zone may hold does not change then.
-        let place = others.iter_mut().find(|(m, room)| {
+        let place = others.iter_mut().find(|(other, m, room)| {
             m.zone == leaving.zone
-                && room.fits(&b.need)
-                && m.has_image(&spec.image)
+                && room.fits(&placed.need)
+                && cache.has_image(other, &spec.image)
                 && spec.allows(&m.type_name, &m.zone, m.spot)
         });
         match place {
-            Some((_, room)) => *room = room.less(&b.need),
+            Some((_, _, room)) => *room = room.less(&placed.need),
             None => return false,
         }
     }
     // What is left must still take a new service of the largest size at once.
     let largest = cache
-        .jobs()
-        .filter_map(|(_, j, _)| j.open())
-        .filter(|s| s.shape == Shape::Service)
-        .map(|s| s.need.cpus.saturating_mul(s.tasks as u64))
+        .open_jobs()
+        .filter(|(_, _, s)| s.shape == Shape::Service)
+        .map(|(_, _, s)| s.need.cpus.saturating_mul(s.tasks as u64))
         .max()
         .unwrap_or(0);
-    others.iter().map(|(_, room)| room.cpus).sum::<u64>() >= largest * RESERVE_SERVICES
+    others.iter().map(|(_, _, room)| room.cpus).sum::<u64>() >= largest * RESERVE_SERVICES
 }
 
 fn cheapest(
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -1,7 +1,9 @@
 //! Claiming tasks for machines and giving them up again, as steps of one transaction.
 //!
-//! A claim writes the machine's booking, the chunk and the team's usage, all conditional on
-//! what was read, the job's record included: a job cancelled meanwhile refuses the claim.
+//! The booking stands in the task's chunk, so that one put claims, or releases, as many tasks
+//! of a chunk as there are. A claim rests on the job (one cancelled meanwhile refuses it), the
+//! chunk, the machine's record, and for teams with a limit on the team's, which every such
+//! claim writes: what is in use is then known exactly, since no other claim came between.
 
 use crate::constants::*;
 use crate::model::*;
@@ -15,14 +17,15 @@
     WrongPlace,
     TeamLimit,
     Paused,
-    TooLarge,
+    /// The transaction, or the chunk's value, holds no more.
+    Full,
 }
 
 /// What will carry the start to the worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Carrier {
-    /// The answer to this check-in, or to the next one that any node gets.
-    Answer(Option<(u64, u64)>),
+    /// The answer to the next check-in that any node gets.
+    Answer,
     /// One direct command for a session, under the machine's token.
     Command { session: u64, token: u64 },
 }
@@ -38,26 +41,38 @@
     Gone,
 }
 
-/// Whether a job's zones must be counted in a record of their own.
+/// Whether claims of a job's chunks must know of one another.
 fn counts_places(spec: &JobSpec, job: &JobRecord) -> bool {
     (spec.together || spec.scatter) && job.chunks() > 1
 }
 
-/// Live tasks per zone of a job, as the draft sees them.
-fn zones_of(draft: &mut Draft, spec: &JobSpec, job: &JobRecord) -> PlaceRecord {
-    if counts_places(spec, job) {
-        return draft.place(&spec.id).unwrap_or_default();
-    }
+/// Live tasks per zone of a job, as the draft sees them. A machine that is not on record
+/// counts for every zone: that can only refuse too much.
+pub fn zones_of(draft: &Draft, job: &JobRecord, id: &str, zones: &[String]) -> PlaceRecord {
     let mut places = PlaceRecord::default();
-    let chunk = draft.chunk(job, &spec.id, 0);
-    for (_, _, zone) in chunk.booked() {
-        *places.zones.entry(zone.clone()).or_default() += 1;
+    for n in 0..job.chunks() {
+        let Some(chunk) = draft.chunk(id, n) else {
+            continue;
+        };
+        for (_, b) in chunk.booked() {
+            match draft.cache.machine(&b.machine) {
+                Some(m) => *places.zones.entry(m.zone.clone()).or_default() += 1,
+                None => {
+                    for zone in zones {
+                        *places.zones.entry(zone.clone()).or_default() += 1;
+                    }
+                }
+            }
+        }
     }
     places
 }
 
 /// How many more tasks of the job the zone may take.
 pub fn zone_room(spec: &JobSpec, zones: &PlaceRecord, zone: &str) -> u32 {
+    if !spec.together && !spec.scatter {
+        return spec.tasks;
+    }
     if spec.together && zones.zones.iter().any(|(z, n)| *n > 0 && z != zone) {
         return 0;
     }
@@ -67,181 +82,143 @@
 
 /// Whether usage plus a need stays within the team's limit. A limit of 0 is none.
 pub fn within_limit(team: &Team, usage: &TeamRecord, need: &Room) -> bool {
-    (team.cpus_max == 0 || usage.cpus + need.cpus <= team.cpus_max)
-        && (team.gpus_max == 0 || usage.gpus + need.gpus <= team.gpus_max)
+    (team.cpus_max == 0 || usage.cpus.saturating_add(need.cpus) <= team.cpus_max)
+        && (team.gpus_max == 0 || usage.gpus.saturating_add(need.gpus) <= team.gpus_max)
 }
 
-/// Books one task on a machine. The draft is left as it was when the claim is refused.
+/// Books one task on a machine with `room` left. A refusal leaves the draft without the claim.
 pub fn claim(
     draft: &mut Draft,
     settings: &Settings,
-    machine_type: &MachineType,
     machine_id: &str,
+    room: &Room,
     task: &TaskId,
     carrier: Carrier,
     wall: WallMs,
 ) -> Result<(), Refusal> {
-    let job = draft.job(&task.job).ok_or(Refusal::JobOver)?;
-    let spec = job.open().cloned().ok_or(Refusal::JobOver)?;
+    let cache = draft.cache;
+    let job = cache.job(&task.job).ok_or(Refusal::JobOver)?;
+    let spec = job.open().ok_or(Refusal::JobOver)?;
     let n = task.index / job.chunk.max(1);
-    let mut chunk = draft.chunk(&job, &task.job, n);
-    let slot = (task.index % job.chunk.max(1)) as usize;
-    if chunk.tasks.get(slot) != Some(&TaskState::Waiting) {
-        return Err(Refusal::TaskTaken);
-    }
-    if chunk.pause_until > wall {
-        return Err(Refusal::Paused);
+    if let Some(chunk) = draft.chunk(&task.job, n) {
+        let slot = (task.index % job.chunk.max(1)) as usize;
+        if chunk.tasks.get(slot) != Some(&TaskState::Waiting) {
+            return Err(Refusal::TaskTaken);
+        }
+        if chunk.pause_until > wall {
+            return Err(Refusal::Paused);
+        }
+        if chunk.size() + BOOKING_BYTES + machine_id.len() > settings.value_bytes as usize {
+            return Err(Refusal::Full);
+        }
     }
-    let mut machine = draft.machine(machine_id).ok_or(Refusal::MachineBusy)?;
-    // The attempt is the stamp that this claim is conditional on: no two claims that
-    // take effect on a machine share one, whatever arrives late or twice.
-    let attempt = draft.cache.stamp(&Key::Machine(machine_id.to_string()));
-    if machine.phase != MachinePhase::Up || attempt == 0 {
+    let machine = cache.machine(machine_id).ok_or(Refusal::MachineBusy)?;
+    if machine.phase != MachinePhase::Up {
         return Err(Refusal::MachineBusy);
     }
-    if !spec.allows(&machine.type_name, &machine.zone, machine.spot)
-        || machine.type_name != machine_type.name
-    {
+    if !spec.allows(&machine.type_name, &machine.zone, machine.spot) {
         return Err(Refusal::WrongPlace);
     }
-    if !machine_type.room.less(&machine.used()).fits(&spec.need) {
-        return Err(Refusal::MachineBusy);
-    }
-    if machine.bookings.len() as u64 >= max_bookings(settings) {
-        return Err(Refusal::TooLarge);
-    }
     // One attempt of a task may be refused as `in_use` while an older one is still known.
-    if machine
-        .bookings
-        .iter()
-        .any(|b| b.job == task.job && b.index == task.index)
-    {
+    if !room.fits(&spec.need) || cache.booking(machine_id, task).is_some() {
         return Err(Refusal::MachineBusy);
     }
-    let mut zones = zones_of(draft, &spec, &job);
-    if zone_room(&spec, &zones, &machine.zone) == 0 {
-        return Err(Refusal::WrongPlace);
+    if spec.together || spec.scatter {
+        let zones = zones_of(draft, job, &task.job, &settings.zones);
+        if zone_room(spec, &zones, &machine.zone) == 0 {
+            return Err(Refusal::WrongPlace);
+        }
     }
     let team = settings.teams.get(&spec.team).ok_or(Refusal::JobOver)?;
-    let mut usage = draft.team(&spec.team).unwrap_or_default();
+    let usage = draft.usage(&spec.team);
     if !within_limit(team, &usage, &spec.need) {
         return Err(Refusal::TeamLimit);
     }
-    usage.cpus += spec.need.cpus;
-    usage.gpus += spec.need.gpus;
-    chunk.tasks[slot] = TaskState::Booked(machine_id.to_string(), attempt, machine.zone.clone());
-    machine.note_image(&spec.image, spec.image_gb, machine_type.cache_gb);
-    machine.bookings.push(Booking {
-        job: task.job.clone(),
-        index: task.index,
+    let booking_bytes = BOOKING_BYTES + machine_id.len();
+    let fits = match draft.touches(&Key::Chunk(task.job.clone(), n)) {
+        true => draft.has_room(settings, 0, 1, booking_bytes),
+        // With the records of its team and places, which may be new to the draft as well.
+        false => {
+            let chunk = draft.chunk(&task.job, n).map_or(0, |c| c.size());
+            let fresh = CHUNK_BASE_BYTES + job.chunk as usize * 4;
+            draft.has_room(
+                settings,
+                3,
+                5,
+                chunk.max(fresh) + 2 * SMALL_RECORD_BYTES + booking_bytes,
+            )
+        }
+    };
+    if !fits {
+        return Err(Refusal::Full);
+    }
+    // No two claims of a task that take effect share their attempt, whatever arrives late or
+    // twice: each changes the revision that it was conditional on.
+    let attempt = cache.claim_stamp(&task.job, n);
+    draft.rests_on(Key::Job(task.job.clone()));
+    draft.rests_on(Key::Machine(machine_id.to_string()));
+    let chunk = draft
+        .chunk_mut(&task.job, n, || Some(ChunkRecord::fresh(job, spec, n)))
+        .ok_or(Refusal::JobOver)?;
+    let slot = task.index.saturating_sub(chunk.first) as usize;
+    let state = chunk.tasks.get_mut(slot).ok_or(Refusal::TaskTaken)?;
+    *state = TaskState::Booked(Booking {
+        machine: machine_id.to_string(),
         attempt,
-        team: spec.team.clone(),
-        need: spec.need,
-        armed: match carrier {
-            Carrier::Answer(mark) => mark,
-            Carrier::Command { .. } => None,
-        },
+        armed: None,
         direct: match carrier {
-            Carrier::Answer(_) => None,
+            Carrier::Answer => None,
             Carrier::Command { session, token } => Some((session, token)),
         },
         stop: None,
     });
-    if counts_places(&spec, &job) {
-        *zones.zones.entry(machine.zone.clone()).or_default() += 1;
+    draft.grow(booking_bytes);
+    draft.use_more(&spec.team, &spec.need);
+    if team.cpus_max > 0 || team.gpus_max > 0 {
+        let usage = draft.usage(&spec.team);
+        draft.put(Key::Team(spec.team.clone()), Record::Team(usage));
+    }
+    if counts_places(spec, job) {
+        let zones = zones_of(draft, job, &task.job, &settings.zones);
         draft.put(Key::Place(task.job.clone()), Record::Place(zones));
     }
-    draft.put(Key::Chunk(task.job.clone(), n), Record::Chunk(chunk));
-    draft.put(
-        Key::Machine(machine_id.to_string()),
-        Record::Machine(machine),
-    );
-    draft.put(Key::Team(spec.team), Record::Team(usage));
     Ok(())
 }
 
-/// Most bookings whose record still fits a value.
-pub fn max_bookings(settings: &Settings) -> u64 {
-    (settings.value_bytes.saturating_sub(MACHINE_BASE_BYTES) / BOOKING_BYTES).max(1)
-}
-
 /// Ends the booking of an attempt that is proven gone. The caller holds the proof.
-pub fn release(
-    draft: &mut Draft,
-    machine_id: &str,
-    task: &TaskId,
-    attempt: u64,
-    outcome: Outcome,
-    wall: WallMs,
-) {
-    let Some(mut machine) = draft.machine(machine_id) else {
+/// At most three records are changed by it.
+pub fn release(draft: &mut Draft, task: &TaskId, attempt: u64, outcome: Outcome, wall: WallMs) {
+    let cache = draft.cache;
+    let Some(job) = cache.job(&task.job) else {
         return;
     };
-    let Some(at) = machine
-        .bookings
-        .iter()
-        .position(|b| b.attempt == attempt && b.job == task.job && b.index == task.index)
+    let n = task.index / job.chunk.max(1);
+    let booking = draft
+        .chunk(&task.job, n)
+        .and_then(|c| c.booking(task.index));
+    let Some(machine_id) = booking
+        .filter(|b| b.attempt == attempt)
+        .map(|b| b.machine.clone())
     else {
         return;
     };
-    let booking = machine.bookings.remove(at);
-    match outcome {
-        Outcome::Done => machine.faults.clear(),
-        Outcome::Failed => {
-            if !machine.faults.contains(&task.job) && machine.faults.len() < SICK_JOBS {
-                machine.faults.push(task.job.clone());
-            }
-            if machine.faults.len() >= SICK_JOBS && machine.phase == MachinePhase::Up {
-                machine.phase = MachinePhase::Draining;
-            }
-        }
-        Outcome::Refused | Outcome::Gone => {}
-    }
-    let zone = machine.zone.clone();
-    draft.put(
-        Key::Machine(machine_id.to_string()),
-        Record::Machine(machine),
-    );
-    let mut usage = draft.team(&booking.team).unwrap_or_default();
-    usage.cpus = usage.cpus.saturating_sub(booking.need.cpus);
-    usage.gpus = usage.gpus.saturating_sub(booking.need.gpus);
-    draft.put(Key::Team(booking.team), Record::Team(usage));
-
-    let Some(job) = draft.job(&task.job) else {
-        return;
-    };
-    let Some(spec) = job.open().cloned() else {
+    let array = job.open().is_none_or(|s| s.shape == Shape::Array);
+    let Some(chunk) = draft.chunk_mut(&task.job, n, || None) else {
         return;
     };
-    let n = task.index / job.chunk.max(1);
-    let slot = (task.index % job.chunk.max(1)) as usize;
-    let mut chunk = draft.chunk(&job, &task.job, n);
-    let ours = matches!(chunk.tasks.get(slot),
-        Some(TaskState::Booked(m, a, _)) if m == machine_id && *a == attempt);
-    if !ours {
-        return;
-    }
-    if counts_places(&spec, &job) {
-        let mut places = draft.place(&task.job).unwrap_or_default();
-        if let Some(n) = places.zones.get_mut(&zone) {
-            *n = n.saturating_sub(1);
-        }
-        draft.put(Key::Place(task.job.clone()), Record::Place(places));
-    }
+    let slot = task.index.saturating_sub(chunk.first) as usize;
     chunk.tasks[slot] = match outcome {
         // A replica that completes is put up again: services end by cancellation only.
-        Outcome::Done if spec.shape == Shape::Array => TaskState::Done,
+        Outcome::Done if array => TaskState::Done,
         _ => TaskState::Waiting,
     };
     if outcome == Outcome::Refused {
         chunk.pause_until = wall + FAIL_PAUSE_MS;
     }
     if outcome == Outcome::Failed {
-        chunk.fails += 1;
-        if !chunk.failed_on.iter().any(|m| m == machine_id)
-            && chunk.failed_on.len() < FAULTY_MACHINES
-        {
-            chunk.failed_on.push(machine_id.to_string());
+        chunk.fails = chunk.fails.saturating_add(1);
+        if !chunk.failed_on.contains(&machine_id) && chunk.failed_on.len() < FAULTY_MACHINES {
+            chunk.failed_on.push(machine_id.clone());
         }
         // A sick machine's failures must not slow the job; a faulty job must not loop.
         let doublings = match chunk.failed_on.len() >= FAULTY_MACHINES {
@@ -250,13 +227,45 @@
         };
         chunk.pause_until = wall + (FAIL_PAUSE_MS << doublings).min(FAIL_PAUSE_MAX_MS);
     }
-    if job.chunks() == 1 && chunk.done() == job.tasks {
+    let booked = chunk.booked().next().is_some();
+    let complete = chunk.done() == job.tasks;
+    if job.open().is_none() && !booked {
+        // A job that is over stays so, and nothing of it is claimed any more.
+        draft.remove(Key::Chunk(task.job.clone(), n));
+    } else if job.open().is_some() && job.chunks() == 1 && complete {
         draft.remove(Key::Chunk(task.job.clone(), 0));
         draft.put(
             Key::Job(task.job.clone()),
             Record::Job(job.over(Phase::Done, wall)),
         );
+    }
+    note_fault(draft, &machine_id, &task.job, outcome);
+}
+
+/// A machine on which tasks of several jobs fail with no success between takes no more work.
+fn note_fault(draft: &mut Draft, machine_id: &str, job: &str, outcome: Outcome) {
+    let Some(record) = draft.cache.machine(machine_id) else {
+        return;
+    };
+    let heals = outcome == Outcome::Done && !record.faults.is_empty();
+    if !heals && outcome != Outcome::Failed {
+        return;
+    }
+    let Some(mut machine) = draft.machine(machine_id) else {
+        return;
+    };
+    if heals {
+        machine.faults.clear();
+    } else if machine.faults.len() < SICK_JOBS && !machine.faults.iter().any(|j| j == job) {
+        machine.faults.push(job.to_string());
+        if machine.faults.len() >= SICK_JOBS && machine.phase == MachinePhase::Up {
+            machine.phase = MachinePhase::Draining;
+        }
     } else {
-        draft.put(Key::Chunk(task.job.clone(), n), Record::Chunk(chunk));
+        return;
     }
+    draft.put(
+        Key::Machine(machine_id.to_string()),
+        Record::Machine(machine),
+    );
 }
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -12,14 +12,19 @@
 /// The accepting node looks first, so that three nodes do not claim the same work.
 pub const FOREIGN_LOOKUP_MS: u64 = 700;
 
-/// Tasks per chunk record at most: a booked task takes about 50 bytes in its chunk.
+/// Tasks per chunk record at most. A claim or a release writes the whole chunk.
 pub const CHUNK_TASKS: u32 = 100;
-/// Bytes reserved per task of a chunk when the value limit sets the chunk's size.
-pub const CHUNK_TASK_BYTES: u64 = 72;
-/// Bytes reserved per booking in a machine's record.
-pub const BOOKING_BYTES: u64 = 170;
-/// Bytes of a machine's record apart from its bookings (type, address, image list).
-pub const MACHINE_BASE_BYTES: u64 = 1_500;
+/// Bytes reserved per task of a chunk when the value limit sets the chunk's size: a booking
+/// takes about 60.
+pub const CHUNK_TASK_BYTES: u64 = 76;
+/// Bytes of a booking apart from its machine's name and a stop's reason.
+pub const BOOKING_BYTES: usize = 60;
+/// Bytes of a chunk's record apart from its tasks and names.
+pub const CHUNK_BASE_BYTES: usize = 120;
+/// Bytes of any other record in a transaction, its key included.
+pub const SMALL_RECORD_BYTES: usize = 900;
+/// Bytes of a key in a transaction.
+pub const KEY_BYTES: usize = 60;
 /// Images remembered per machine: more are never warm at once on the types seen.
 pub const MACHINE_IMAGES: usize = 12;
 /// Bytes that a transaction may have in all (64 KiB by protocol), less some room.
@@ -28,7 +33,11 @@
 pub const CONDITIONS_PER_OP: usize = 4;
 
 /// Milliseconds between two proofs of freshness: requests that arrive meanwhile share one.
-pub const PROOF_GAP_MS: u64 = 40;
+/// Users wait 2 s for a status, and hundreds of services are asked about all the time.
+pub const PROOF_GAP_MS: u64 = 120;
+/// Milliseconds between two transactions that record what check-ins brought. Results that
+/// fall together share the put of their chunk.
+pub const FLUSH_GAP_MS: u64 = 250;
 /// Milliseconds after which a user's request that could not be decided gets a 503.
 /// Users give up on submissions after 5 s.
 pub const SUBMIT_PATIENCE_MS: u64 = 3_500;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -94,7 +94,6 @@
         if let Some(job) = self.cache.job(&ask.job).cloned() {
             if matches!(ask.want, Want::Cancel) && job.phase == Phase::Open {
                 let mut draft = Draft::new(&self.cache);
-                draft.read(&Key::Job(ask.job.clone()));
                 let over = job.over(Phase::Cancelled, self.wall);
                 draft.put(Key::Job(ask.job), Record::Job(over));
                 let txn = draft.finish();
@@ -224,16 +223,12 @@
             Phase::Done => (JobState::Done, job.tasks, 0),
             Phase::Cancelled => (JobState::Cancelled, 0, 0),
             Phase::Open => {
-                let (mut done, mut running) = (0, 0);
-                for (_, chunk) in self.cache.chunks_of(id) {
-                    done += chunk.done();
-                    running += chunk.booked().count() as u32;
-                }
-                let state = match running {
+                let counts = self.cache.counts(id);
+                let state = match counts.booked {
                     0 => JobState::Queued,
                     _ => JobState::Running,
                 };
-                (state, done, running)
+                (state, counts.done, counts.booked)
             }
         }
     }
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -3,39 +3,49 @@
 //! A start travels by one direct command, or in the answer to the check-in recorded in its
 //! booking. `reconcile` says what proves that it will never arrive.
 
-use crate::claims::{self, Carrier, Outcome};
+use crate::claims::{Carrier, Outcome};
 use crate::constants::*;
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
-/// A check-in that waits for its answer.
+/// A check-in that waits for its answer: for the records to be read after a start, or for a
+/// start to be recorded that its answer shall carry.
 pub(crate) struct Held {
     pub request: RequestId,
     pub report: Report,
     pub since: Millis,
-    /// A transaction for this check-in is on its way.
-    pub busy: bool,
+    /// Nothing has been made of it yet.
+    pub early: bool,
 }
 
 impl Held {
     fn mark(&self) -> (u64, u64) {
-        (self.report.session, self.report.tally)
+        mark(&self.report)
     }
-    /// The check-in a start may be booked for, if its answer is still far enough away.
-    pub fn open_for_starts(&self, now: Millis) -> Option<(u64, u64)> {
-        (now < self.since + CHECKIN_PATIENCE_MS - 400).then(|| self.mark())
-    }
-    fn reported(&self, task: &TaskId, attempt: u64) -> Option<TaskPhase> {
-        self.report
-            .tasks
-            .iter()
-            .find(|t| t.task == *task && t.attempt == attempt)
-            .map(|t| t.phase)
+    /// Whether its answer can still carry a start.
+    pub fn carries(&self, now: Millis) -> bool {
+        now < self.since + CHECKIN_PATIENCE_MS - 400
     }
 }
 
+fn mark(report: &Report) -> (u64, u64) {
+    (report.session, report.tally)
+}
+
+/// What a report says of the machine itself, as far as its record lacks it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Seen {
+    pub address: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub notice: bool,
+    /// A direct command is to be barred: the token must be above this one.
+    pub above: Option<u64>,
+}
+
 impl Node {
     pub(crate) fn check_in(&mut self, request: RequestId, report: Report) {
         let id = report.machine.clone();
@@ -52,7 +62,7 @@
         if !self.loaded && self.state_age() < CHECKIN_PATIENCE_MS {
             // Just started: the records will be here in a moment, while another node would
             // be a second away.
-            self.hold(request, report);
+            self.hold(request, report, true);
             return;
         }
         let Some(token) = self.machine_token(&id) else {
@@ -69,14 +79,18 @@
             self.worker(request, WorkerReply::NotNow);
             return;
         }
-        self.hold(request, report);
+        if self.examine(&report) {
+            self.hold(request, report, false);
+        } else {
+            let orders = self.orders(&report);
+            self.reply_orders(&id, request, token, orders);
+        }
     }
 
-    fn hold(&mut self, request: RequestId, report: Report) {
+    fn hold(&mut self, request: RequestId, report: Report, early: bool) {
         let id = report.machine.clone();
-        let mark = (report.session, report.tally);
         if let Some(old) = self.held.remove(&id) {
-            if old.mark() > mark {
+            if old.mark() > mark(&report) {
                 self.held.insert(id, old);
                 self.worker(request, WorkerReply::NotNow);
                 return;
@@ -84,17 +98,31 @@
             // The worker has given up the earlier one, so its answer carries nothing.
             self.worker(old.request, WorkerReply::NotNow);
         }
+        let since = self.now;
         self.held.insert(
-            id.clone(),
+            id,
             Held {
                 request,
                 report,
-                since: self.now,
-                busy: false,
+                since,
+                early,
             },
         );
-        self.note_missing(&id);
-        self.changed = true;
+    }
+
+    /// Goes on with check-ins that came before the records were read.
+    pub(crate) fn take_early(&mut self) {
+        let early: Vec<String> = self
+            .held
+            .iter()
+            .filter(|(_, h)| h.early)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in early {
+            if let Some(held) = self.held.remove(&id) {
+                self.check_in(held.request, held.report);
+            }
+        }
     }
 
     fn worker(&mut self, request: RequestId, reply: WorkerReply) {
@@ -123,95 +151,29 @@
         }
     }
 
-    /// Does what the held check-ins call for next: one transaction for as many of them as
-    /// fit, or their answers, or waiting on.
-    ///
-    /// One such transaction is on its way at a time: two of one node would often change the
-    /// same team's record, and the loser would have cost budget for nothing.
-    pub(crate) fn advance_held(&mut self) {
-        if !self.loaded || self.cache.term().is_none() || !self.may_write() {
-            return;
-        }
-        let mut draft = Draft::new(&self.cache);
-        let (mut changed, mut settled) = (Vec::new(), Vec::new());
-        let mut held: Vec<&Held> = self.held.values().filter(|h| !h.busy).collect();
-        held.sort_by_key(|h| h.since);
-        for h in held {
-            let id = &h.report.machine;
-            if self.busy_machines.contains(id) {
-                continue;
-            }
-            let mark = draft.save();
-            self.reconcile(h, &mut draft);
-            if !draft.within(self.settings.txn_ops) || draft.bytes() > TXN_BYTES {
-                draft.restore(mark);
-                break;
-            }
-            if draft.touches(&Key::Machine(id.clone())) {
-                changed.push(id.clone());
-            } else {
-                // Only read: no reason to make its record a condition.
-                draft.restore(mark);
-                settled.push(id.clone());
-            }
-        }
-        if !draft.is_empty() {
-            let txn = draft.finish();
-            for id in &changed {
-                if let Some(held) = self.held.get_mut(id) {
-                    held.busy = true;
-                }
-            }
-            self.writing = true;
-            self.commit(txn, Purpose::Reconcile(changed), Priority::Result);
-        }
-        for id in settled {
-            self.answer_held(&id);
-        }
-    }
-
-    /// The changes of the records that a check-in gives reason for.
-    fn reconcile(&self, held: &Held, draft: &mut Draft) {
-        let report = &held.report;
+    /// Notes what a report proves and what it gives reason to record. Says whether a start
+    /// has to go into its answer. Whatever it proves holds however old the report is.
+    fn examine(&mut self, report: &Report) -> bool {
         let id = &report.machine;
-        let mark = held.mark();
-        let wall = self.wall;
-        let Some(record) = self.cache.machine(id) else {
-            if self.gone.contains(id) {
-                return;
-            }
-            let machine = MachineRecord {
-                address: report.address.clone(),
-                ..MachineRecord::new(
-                    &report.type_name,
-                    &report.zone,
-                    report.spot,
-                    MachinePhase::Up,
-                    wall,
-                )
-            };
-            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
-            return;
-        };
-        for b in &record.bookings {
-            let task = b.task();
-            let job = self.cache.job(&b.job);
-            let wanted = b.stop.is_none() && job.is_some_and(|j| j.open().is_some());
-            let reported = held.reported(&task, b.attempt);
-            // The start can't arrive any more, and is not there: of a newer session the
-            // worker has killed and forgotten everything older; a check-in after the one
-            // whose answer carried the start shows that the answer brought nothing; a token
-            // above the direct command's makes the worker refuse that one, however late.
-            let barred = match (b.armed, b.direct) {
-                (_, Some((session, token))) => session < mark.0 || token < report.token,
-                (Some(armed), None) => armed < mark,
-                (None, None) => true,
-            };
+        let mark = mark(report);
+        let reported: HashMap<(&TaskId, u64), TaskPhase> = (report.tasks.iter())
+            .map(|t| ((&t.task, t.attempt), t.phase))
+            .collect();
+        let mut ended: Vec<((TaskId, u64), Outcome)> = Vec::new();
+        let mut saves: Vec<(TaskId, u64)> = Vec::new();
+        let mut above = None;
+        let mut arm = false;
+        for (task, placed) in self.cache.bookings(id) {
+            let b = &placed.booking;
+            let spec = self.cache.open_job(&task.job);
+            let wanted = b.stop.is_none() && spec.is_some();
+            let phase = reported.get(&(task, b.attempt)).copied();
+            let barred = barred(b, mark, report.token);
             let newer_session = b
                 .armed
                 .or(b.direct)
                 .is_some_and(|(session, _)| session < mark.0);
-            let ended = match reported {
+            let outcome = match phase {
                 Some(TaskPhase::Exited(cause)) => Some(match cause {
                     Cause::Done => Outcome::Done,
                     Cause::Error => Outcome::Failed,
@@ -221,78 +183,106 @@
                 None if newer_session || barred && !wanted => Some(Outcome::Gone),
                 _ => None,
             };
-            let step = draft.save();
-            if let Some(outcome) = ended {
-                claims::release(draft, id, &task, b.attempt, outcome, wall);
-            } else if reported == Some(TaskPhase::Running)
+            let key = (task.clone(), b.attempt);
+            if b.direct.is_some() {
+                if phase.is_some() {
+                    self.missing_since.remove(&key);
+                } else {
+                    self.missing_since.entry(key.clone()).or_insert(self.now);
+                }
+            }
+            if let Some(outcome) = outcome {
+                ended.push((key, outcome));
+            } else if phase == Some(TaskPhase::Running)
                 && report.notice_s.is_some()
                 && b.stop.is_none()
-                && job
-                    .and_then(|j| j.open())
-                    .is_some_and(|s| s.checkpoint_s > 0.0)
+                && spec.is_some_and(|s| s.checkpoint_s > 0.0)
             {
                 // The machine is about to be taken: what can save its progress does so now.
-                self.edit_booking(draft, id, b, |b| b.stop = Some("notice".into()));
-            } else if reported.is_none() && barred && held.open_for_starts(self.now).is_some() {
-                // The start goes into this answer, once the booking says so.
-                self.edit_booking(draft, id, b, |b| {
-                    b.direct = None;
-                    b.armed = Some(mark);
-                });
-            } else if reported.is_none() && !barred && self.long_missing(id, b) {
+                saves.push(key);
+            } else if phase.is_none() && barred {
+                arm = true;
+            } else if phase.is_none()
+                && self
+                    .missing_since
+                    .get(&key)
+                    .is_some_and(|at| self.now >= at + MISSING_MS)
+            {
                 // A direct command without a trace: raise the token so that it can't come
                 // late. Once the worker reports the new token, the start is barred.
-                if let Some(mut machine) = draft.machine(id) {
-                    let token = self.cache.term().unwrap_or(0) + machine.raised;
-                    if b.direct.is_some_and(|(_, t)| t >= token) {
-                        machine.raised += 1;
-                        draft.put(Key::Machine(id.clone()), Record::Machine(machine));
-                    }
-                }
-            }
-            if !draft.within(self.settings.txn_ops) {
-                draft.restore(step);
-                break;
+                above = above.max(b.direct.map(|(_, token)| token));
             }
         }
-        let Some(mut machine) = draft.machine(id) else {
-            return;
+        self.results.extend(ended);
+        self.saves.extend(saves);
+        let seen = Seen {
+            address: report.address.clone(),
+            type_name: report.type_name.clone(),
+            zone: report.zone.clone(),
+            spot: report.spot,
+            notice: report.notice_s.is_some(),
+            above,
         };
-        let before = machine.clone();
-        if machine.phase == MachinePhase::Booting {
-            machine.phase = MachinePhase::Up;
-        }
-        if machine.address != report.address {
-            machine.address = report.address.clone();
-        }
-        if report.notice_s.is_some() && machine.phase == MachinePhase::Up {
-            machine.phase = MachinePhase::Draining;
-        }
-        if machine != before {
-            draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+        if self.updated(id, &seen).is_some() {
+            self.seen.insert(id.clone(), seen);
         }
+        arm
     }
 
-    fn edit_booking(
-        &self,
-        draft: &mut Draft,
-        machine_id: &str,
-        booking: &Booking,
-        edit: impl FnOnce(&mut Booking),
-    ) {
-        let Some(mut machine) = draft.machine(machine_id) else {
-            return;
+    /// A machine's record with what a report says of it, if that changes it.
+    pub(crate) fn updated(&self, id: &str, seen: &Seen) -> Option<MachineRecord> {
+        let Some(record) = self.cache.machine(id) else {
+            return (!self.gone.contains(id)).then(|| MachineRecord {
+                address: seen.address.clone(),
+                ..MachineRecord::new(
+                    &seen.type_name,
+                    &seen.zone,
+                    seen.spot,
+                    MachinePhase::Up,
+                    self.wall,
+                )
+            });
         };
-        let same = |b: &&mut Booking| {
-            b.attempt == booking.attempt && b.job == booking.job && b.index == booking.index
+        let term = self.cache.term().unwrap_or(0);
+        let phase = match (record.phase, seen.notice) {
+            (MachinePhase::Booting | MachinePhase::Up, true) => MachinePhase::Draining,
+            (MachinePhase::Booting, false) => MachinePhase::Up,
+            (phase, _) => phase,
         };
-        if let Some(b) = machine.bookings.iter_mut().find(same) {
-            edit(b);
+        let raise = seen.above.is_some_and(|t| t >= term + record.raised);
+        if phase == record.phase && !raise && record.address == seen.address {
+            return None;
         }
-        draft.put(
-            Key::Machine(machine_id.to_string()),
-            Record::Machine(machine),
-        );
+        Some(MachineRecord {
+            phase,
+            raised: record.raised + u64::from(raise),
+            address: seen.address.clone(),
+            ..record.clone()
+        })
+    }
+
+    /// Bookings whose start goes into the answer to this held check-in, once they say so.
+    pub(crate) fn to_arm(&self, held: &Held) -> Vec<(TaskId, u64)> {
+        if held.early || !held.carries(self.now) {
+            return Vec::new();
+        }
+        let mark = held.mark();
+        let shown = |task: &TaskId, attempt: u64| {
+            let mut tasks = held.report.tasks.iter();
+            tasks.any(|t| t.attempt == attempt && t.task == *task)
+        };
+        self.cache
+            .bookings(&held.report.machine)
+            .filter(|(task, p)| {
+                let b = &p.booking;
+                b.armed != Some(mark)
+                    && b.stop.is_none()
+                    && self.cache.open_job(&task.job).is_some()
+                    && !shown(task, b.attempt)
+                    && barred(b, mark, held.report.token)
+            })
+            .map(|(task, p)| (task.clone(), p.booking.attempt))
+            .collect()
     }
 
     /// The token under which a machine is commanded, the same for all nodes.
@@ -301,27 +291,6 @@
         Some(self.cache.term()? + raised)
     }
 
-    fn long_missing(&self, id: &str, b: &Booking) -> bool {
-        self.missing_since
-            .get(&(id.to_string(), b.task(), b.attempt))
-            .is_some_and(|at| self.now >= at + MISSING_MS)
-    }
-
-    /// Notes which directly commanded starts a check-in does not show.
-    fn note_missing(&mut self, id: &str) {
-        let (Some(held), Some(record)) = (self.held.get(id), self.cache.machine(id)) else {
-            return;
-        };
-        for b in record.bookings.iter().filter(|b| b.direct.is_some()) {
-            let key = (id.to_string(), b.task(), b.attempt);
-            if held.reported(&key.1, b.attempt).is_some() {
-                self.missing_since.remove(&key);
-            } else {
-                self.missing_since.entry(key).or_insert(self.now);
-            }
-        }
-    }
-
     /// How a start gets from here to a machine: by a direct command, unless the last one
     /// failed; then by the answer to a check-in.
     pub(crate) fn carrier(&self, id: &str, m: &MachineRecord) -> Carrier {
@@ -334,7 +303,7 @@
             (Some(token), Some(session)) if !failed && !m.address.is_empty() => {
                 Carrier::Command { session, token }
             }
-            _ => Carrier::Answer(self.held.get(id).and_then(|h| h.open_for_starts(self.now))),
+            _ => Carrier::Answer,
         }
     }
 
@@ -348,10 +317,7 @@
     pub(crate) fn command_starts(&mut self, claimed: &[(TaskId, String)]) {
         let mut by_machine: BTreeMap<String, (u64, u64, Vec<Order>)> = BTreeMap::new();
         for (task, id) in claimed {
-            let booking = self.cache.machine(id).and_then(|m| {
-                let same = |b: &&Booking| b.job == task.job && b.index == task.index;
-                m.bookings.iter().find(same)
-            });
+            let booking = self.cache.booking(id, task).map(|p| &p.booking);
             let open = self.cache.open_job(&task.job).is_some();
             if let Some((attempt, (session, token))) = booking
                 .and_then(|b| Some((b.attempt, b.direct?)))
@@ -390,17 +356,13 @@
 
     /// Stops one booked task at once, with time to save.
     pub(crate) fn command_stop(&mut self, id: &str, task: &TaskId) {
-        let found = self.cache.machine(id).and_then(|m| {
-            m.bookings
-                .iter()
-                .find(|b| b.task() == *task && b.stop.is_some())
-        });
-        let Some(attempt) = found.map(|b| b.attempt) else {
+        let booking = self.cache.booking(id, task).map(|p| &p.booking);
+        let Some((attempt, why)) = booking.and_then(|b| Some((b.attempt, b.stop.as_deref()?)))
+        else {
             return;
         };
         let grace_s = self.grace_s(&task.job);
         let task = task.clone();
-        let why = found.and_then(|b| b.stop.as_deref()).unwrap_or_default();
         tracing::info!(%task, machine = id, why, "stop sent");
         let orders = vec![Order::Stop {
             task,
@@ -419,54 +381,43 @@
     /// Stops a cancelled job's tasks at once. Late or lost, it does no harm: check-ins stop
     /// them as well.
     pub(crate) fn command_stops(&mut self, job: &str) {
-        let mut due: Vec<(String, Vec<Order>)> = Vec::new();
-        for (id, m, _) in self.cache.machines() {
-            let orders: Vec<Order> = m
-                .bookings
-                .iter()
-                .filter(|b| b.job == job)
-                .map(|b| Order::Stop {
-                    task: b.task(),
-                    attempt: b.attempt,
-                    grace_s: 0.0,
-                })
-                .collect();
-            if !orders.is_empty() {
-                due.push((id.to_string(), orders));
-            }
+        let mut due: BTreeMap<String, Vec<Order>> = BTreeMap::new();
+        for (index, b) in self.cache.chunks_of(job).flat_map(|(_, c)| c.booked()) {
+            due.entry(b.machine.clone()).or_default().push(Order::Stop {
+                task: TaskId {
+                    job: job.to_string(),
+                    index,
+                },
+                attempt: b.attempt,
+                grace_s: 0.0,
+            });
         }
         for (id, orders) in due {
             self.command_now(id, orders);
         }
     }
 
-    pub(crate) fn reconciled(&mut self, machines: Vec<String>, committed: bool) {
-        for id in machines {
-            if let Some(held) = self.held.get_mut(&id) {
-                held.busy = false;
-            }
-        }
-        if committed {
-            self.lookup_wanted = true;
-        }
+    /// Whether the copy of the records shows all that became of an attempt's claim: the
+    /// chunk has changed since the revision it was conditional on, or the job is over. Until
+    /// then a sibling's claim may just not have arrived here.
+    fn fate_known(&self, task: &TaskId, attempt: u64) -> bool {
+        let Some(job) = self.cache.job(&task.job) else {
+            return false;
+        };
+        let n = task.index / job.chunk.max(1);
+        self.cache.chunk_stamp(&task.job, n) > attempt
+            || job.open().is_none() && self.cache.epoch >= self.cache.job_stamp(&task.job)
     }
 
     /// What the worker is told, from records that are committed.
-    fn orders(&self, held: &Held) -> Vec<Order> {
-        let id = &held.report.machine;
-        let mark = held.mark();
+    fn orders(&self, report: &Report) -> Vec<Order> {
+        let id = &report.machine;
+        let mark = mark(report);
         let mut orders = Vec::new();
-        let record = self.cache.machine(id);
-        let stamp = self.cache.stamp(&Key::Machine(id.clone()));
-        for t in &held.report.tasks {
-            let booking = record.and_then(|m| {
-                m.bookings.iter().find(|b| {
-                    b.attempt == t.attempt && b.job == t.task.job && b.index == t.task.index
-                })
-            });
-            // A claim changes the record from the revision that is its attempt: while the
-            // copy is not past that, a sibling's claim may just not have arrived here.
-            if booking.is_none() && stamp <= t.attempt {
+        for t in &report.tasks {
+            let booking = self.cache.booking(id, &t.task).map(|p| &p.booking);
+            let booking = booking.filter(|b| b.attempt == t.attempt);
+            if booking.is_none() && !self.fate_known(&t.task, t.attempt) {
                 continue;
             }
             let job = self.cache.job(&t.task.job);
@@ -496,15 +447,15 @@
                 }
             }
         }
-        for b in record.iter().flat_map(|m| &m.bookings) {
-            let task = b.task();
+        for (task, p) in self.cache.bookings(id) {
+            let b = &p.booking;
             if b.armed == Some(mark)
                 && b.stop.is_none()
-                && held.reported(&task, b.attempt).is_none()
-                && self.cache.open_job(&b.job).is_some()
+                && !(report.tasks.iter()).any(|t| t.attempt == b.attempt && t.task == *task)
+                && self.cache.open_job(&task.job).is_some()
             {
                 orders.push(Order::Start {
-                    task,
+                    task: task.clone(),
                     attempt: b.attempt,
                 });
             }
@@ -512,14 +463,18 @@
         orders
     }
 
-    fn answer_held(&mut self, id: &str) {
+    pub(crate) fn answer_held(&mut self, id: &str) {
         let Some(token) = self.machine_token(id) else {
             return;
         };
         let Some(held) = self.held.remove(id) else {
             return;
         };
-        let orders = self.orders(&held);
+        let orders = self.orders(&held.report);
+        self.reply_orders(id, held.request, token, orders);
+    }
+
+    fn reply_orders(&mut self, id: &str, request: RequestId, token: u64, orders: Vec<Order>) {
         for order in &orders {
             match order {
                 Order::Start { task, attempt } => {
@@ -531,7 +486,7 @@
                 Order::Forget { .. } => {}
             }
         }
-        self.worker(held.request, WorkerReply::Orders { token, orders });
+        self.worker(request, WorkerReply::Orders { token, orders });
     }
 
     pub(crate) fn tick_held(&mut self) {
@@ -554,7 +509,6 @@
                 continue;
             }
         }
-        self.changed |= !self.held.is_empty();
     }
 
     // ---- Machines that fall silent, or idle --------------------------------------------
@@ -650,6 +604,12 @@
         moved.max(self.settings.lease_ms) + SILENCE_SPARE_MS
     }
 
+    /// Whether its latest check-in, as far as is known, came to this node.
+    pub(crate) fn reports_here(&self, id: &str) -> bool {
+        let own = self.heard.get(id);
+        own.is_some_and(|h| !self.newer_elsewhere(id, h))
+    }
+
     pub(crate) fn recently_heard(&self, id: &str) -> bool {
         self.silence(id) < self.settings.report_ms * 5 / 2
     }
@@ -681,24 +641,29 @@
         let mut ups = 0;
         let mut condemned: Vec<(String, &'static str)> = Vec::new();
         let stuck_after = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
+        for (job, counts) in self.cache.counted() {
+            let stuck = self.cache.job(job).is_some_and(|j| {
+                j.phase == Phase::Cancelled
+                    && counts.booked > 0
+                    && self.wall > j.ended + self.settings.clock_off_ms + stuck_after
+            });
+            if stuck {
+                for (_, b) in self.cache.chunks_of(job).flat_map(|(_, c)| c.booked()) {
+                    condemned.push((b.machine.clone(), "it still holds a cancelled task"));
+                }
+            }
+        }
         for (id, m, _) in self.cache.machines() {
-            let since = *self
-                .seen_since
-                .entry(Key::Machine(id.to_string()))
-                .or_insert(self.now);
+            if !self.known_since.contains_key(id) {
+                self.known_since.insert(id.to_string(), self.now);
+            }
+            let since = self.known_since.get(id).copied().unwrap_or(self.now);
             if m.is_up() {
-                self.up_since.entry(id.to_string()).or_insert(self.now);
-                ups += 1;
-                let stuck = m.bookings.iter().any(|b| {
-                    self.cache.job(&b.job).is_some_and(|j| {
-                        j.phase == Phase::Cancelled
-                            && self.wall > j.ended + self.settings.clock_off_ms + stuck_after
-                    })
-                });
-                if stuck {
-                    condemned.push((id.to_string(), "it still holds a cancelled task"));
+                if !self.up_since.contains_key(id) {
+                    self.up_since.insert(id.to_string(), self.now);
                 }
-                if m.bookings.is_empty() {
+                ups += 1;
+                if self.cache.booked_tasks(id) == 0 {
                     let idle = *self.idle_since.entry(id.to_string()).or_insert(self.now);
                     let keep = match m.phase {
                         MachinePhase::Draining => 0,
@@ -714,11 +679,18 @@
                     self.idle_since.remove(id);
                 }
             }
-            if m.phase == MachinePhase::Booting {
-                let boot_s = self.types.get(&m.type_name).map_or(60.0, |t| t.boot_s);
-                let patience = (boot_s * 1000.0 * BOOT_GIVE_UP) as u64 + BOOT_SPARE_MS;
-                if self.now - since > patience {
-                    condemned.push((id.to_string(), "it never came up"));
+            if m.phase == MachinePhase::Booting
+                && self.now - since > self.boot_patience(&m.type_name)
+            {
+                condemned.push((id.to_string(), "it never came up"));
+            }
+        }
+        for (n, h, _) in self.cache.hires() {
+            let since = self.hire_since.get(n).copied().unwrap_or(self.now);
+            if self.now - since > self.boot_patience(&h.type_name) {
+                let hosts = h.hosts.iter().flatten();
+                for id in hosts.filter(|id| self.on_its_way(id)) {
+                    condemned.push((id.clone(), "it never came up"));
                 }
             }
         }
@@ -744,4 +716,21 @@
             self.condemn(&id, why);
         }
     }
+
+    fn boot_patience(&self, type_name: &str) -> Millis {
+        let boot_s = self.types.get(type_name).map_or(60.0, |t| t.boot_s);
+        (boot_s * 1000.0 * BOOT_GIVE_UP) as u64 + BOOT_SPARE_MS
+    }
+}
+
+/// The start of a booking can't arrive any more, if it is not there already. Of a newer
+/// session the worker has killed and forgotten everything older; a check-in after the one
+/// whose answer carried the start shows that the answer brought nothing; a token above the
+/// direct command's makes the worker refuse that one, however late.
+fn barred(b: &Booking, mark: (u64, u64), token: u64) -> bool {
+    match (b.armed, b.direct) {
+        (_, Some((session, sent))) => session < mark.0 || sent < token,
+        (Some(armed), None) => armed < mark,
+        (None, None) => true,
+    }
 }
--- /dev/null
+++ b/crates/core/src/placing.rs
@@ -0,0 +1,233 @@
+//! When and for what a node looks up work: claims, stops for what waits, rentals, moves.
+
+use crate::capacity;
+use crate::constants::*;
+use crate::lookup::{self, Candidate};
+use crate::model::*;
+use crate::node::*;
+use crate::preempt;
+use crate::records::*;
+use rand::Rng;
+
+impl Node {
+    pub(crate) fn look_up(&mut self) {
+        let due = self.lookup_wanted || self.now >= self.lookup_at;
+        if !due
+            || self.cache.epoch < self.load_high
+            || !self.may_write()
+            || !self.state_ok()
+            || !self.settled()
+            || self.types.is_empty()
+        {
+            return;
+        }
+        self.lookup_wanted = false;
+        let jitter = self.rng.gen_range(0..POLL_MS / 4);
+        self.lookup_at = self.now + POLL_MS + jitter;
+        let mut work = lookup::waiting(&self.cache, &self.settings, self.wall);
+        self.waiting_work = !work.is_empty();
+        if work.is_empty() {
+            return;
+        }
+        let mut machines: Vec<Candidate> = Vec::new();
+        for (id, m, _) in self.cache.machines() {
+            if m.phase != MachinePhase::Up
+                || self.condemned.contains_key(id)
+                || !self.recently_heard(id)
+            {
+                continue;
+            }
+            let Some(kind) = self.types.get(&m.type_name) else {
+                continue;
+            };
+            let room = kind.room.less(&self.cache.used(id));
+            if room.cpus == 0 || room.ram == 0 {
+                continue;
+            }
+            machines.push(Candidate {
+                id: id.to_string(),
+                room,
+                used_at: self.used_at.get(id).copied().unwrap_or(0),
+                own: self.reports_here(id),
+                busy: self.cache.booked_tasks(id) > 0,
+                carrier: self.carrier(id, m),
+            });
+        }
+        let plan = lookup::plan(
+            &self.cache,
+            &self.settings,
+            &self.types,
+            &mut work,
+            &mut machines,
+            self.wall,
+        );
+        let full = plan.full;
+        if !plan.claimed.is_empty() {
+            self.writing = true;
+            self.commit(plan.txn, Purpose::Lookup(plan.claimed), Priority::Claim);
+        }
+        if !full {
+            work.retain(|w| !w.indices.is_empty());
+            self.preempt(&work);
+            self.rent(&work);
+        }
+    }
+
+    /// Stops work of lower rank for what found no room.
+    fn preempt(&mut self, work: &[lookup::Waiting]) {
+        if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
+            return;
+        }
+        let ripe: Vec<lookup::Waiting> = work
+            .iter()
+            .filter(|w| self.wall >= w.at + PREEMPT_AFTER_MS)
+            .cloned()
+            .collect();
+        if ripe.is_empty() {
+            // What is too fresh is looked at again soon.
+            self.lookup_at = self.lookup_at.min(self.now + PREEMPT_AFTER_MS);
+            return;
+        }
+        let now = self.now;
+        let age = |attempt: u64| {
+            let at = self.epochs.partition_point(|(e, _)| *e <= attempt);
+            match self.epochs.get(at) {
+                _ if at == 0 => Millis::MAX,
+                Some((_, t)) => now - t,
+                None => 0,
+            }
+        };
+        let usable = |id: &str| self.recently_heard(id) && !self.condemned.contains_key(id);
+        let stops = preempt::victims(&self.cache, &self.types, &ripe, usable, age);
+        let mut draft = Draft::new(&self.cache);
+        let mut chosen = Vec::new();
+        for (id, task) in stops {
+            let Some(attempt) = self.cache.booking(&id, &task).map(|p| p.booking.attempt) else {
+                continue;
+            };
+            if !draft.has_room(&self.settings, 1, 1, self.settings.value_bytes as usize) {
+                break;
+            }
+            self.edit_booking(&mut draft, &task, attempt, |b| {
+                b.stop = Some("preempted".into());
+            });
+            chosen.push((id, task));
+        }
+        if chosen.is_empty() {
+            return;
+        }
+        self.preempted_at = self.now;
+        let txn = draft.finish();
+        self.writing = true;
+        self.commit(txn, Purpose::Stop(chosen), Priority::Claim);
+    }
+
+    fn rent(&mut self, work: &[lookup::Waiting]) {
+        if work.is_empty() || self.hire_busy {
+            return;
+        }
+        let wishes = capacity::wishes(
+            &self.cache,
+            &self.types,
+            work,
+            |id| self.on_its_way(id),
+            self.wall,
+        );
+        if wishes.is_empty() {
+            for w in work.iter().take(3) {
+                tracing::debug!(job = w.job, tasks = w.indices.len(), "waits for a machine");
+            }
+            return;
+        }
+        let mut draft = Draft::new(&self.cache);
+        let mut fleet = draft.fleet();
+        let mut hires = Vec::new();
+        for wish in wishes.into_iter().take(HIRES_AT_ONCE) {
+            let n = fleet.next;
+            fleet.next += 1;
+            hires.push(n);
+            draft.put(
+                Key::Hire(n),
+                Record::Hire(HireRecord {
+                    type_name: wish.type_name,
+                    zone: wish.zone,
+                    spot: wish.spot,
+                    count: wish.count.min(HIRE_MAX),
+                    node: self.settings.node.clone(),
+                    at: self.wall,
+                    hosts: None,
+                }),
+            );
+        }
+        draft.put(Key::Fleet, Record::Fleet(fleet));
+        let txn = draft.finish();
+        self.hire_busy = true;
+        self.commit(txn, Purpose::NewHires(hires), Priority::Claim);
+    }
+
+    /// Empties dear machines whose services fit elsewhere, one task at a time, and takes the
+    /// services off machines that are being drained.
+    pub(crate) fn move_services(&mut self) {
+        let moving = self.cache.machines().any(|(id, _, _)| {
+            self.cache
+                .bookings(id)
+                .any(|(_, p)| p.booking.stop.is_some())
+        });
+        if self.waiting_work || self.cache.hires().next().is_some() {
+            self.quiet_since = self.now;
+        }
+        if moving
+            || self.waiting_work
+            || !self.may_write()
+            || self.now < self.moved_at + MOVE_GAP_MS
+        {
+            return;
+        }
+        self.moved_at = self.now;
+        let leaving = self
+            .cache
+            .machines()
+            .filter(|(_, m, _)| m.phase == MachinePhase::Draining)
+            .find_map(|(id, _, _)| {
+                let mut bookings = self.cache.bookings(id);
+                let (task, p) = bookings.find(|(task, p)| self.movable(task, &p.booking))?;
+                Some((id.to_string(), task.clone(), p.booking.attempt))
+            });
+        let mut draft = Draft::new(&self.cache);
+        if let Some((id, task, attempt)) = leaving {
+            self.edit_booking(&mut draft, &task, attempt, |b| {
+                b.stop = Some("moved".into());
+            });
+            let txn = draft.finish();
+            self.writing = true;
+            self.commit(txn, Purpose::Stop(vec![(id, task)]), Priority::Claim);
+        } else if self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
+            let now = self.now;
+            let old = |id: &str| {
+                self.up_since
+                    .get(id)
+                    .is_some_and(|at| now >= at + DISPENSABLE_AFTER_MS)
+            };
+            let Some(id) = capacity::dispensable(&self.cache, &self.types, old) else {
+                return;
+            };
+            let Some(mut machine) = draft.machine(&id) else {
+                return;
+            };
+            let bookings = self.cache.booked_tasks(&id);
+            tracing::info!(machine = id, bookings, "emptying");
+            machine.phase = MachinePhase::Draining;
+            draft.put(Key::Machine(id), Record::Machine(machine));
+            let txn = draft.finish();
+            self.commit(txn, Purpose::Sweep, Priority::Housekeeping);
+        }
+    }
+
+    fn movable(&self, task: &TaskId, b: &Booking) -> bool {
+        b.stop.is_none()
+            && self
+                .cache
+                .open_job(&task.job)
+                .is_some_and(|s| s.shape == Shape::Service)
+    }
+}
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -42,15 +42,15 @@
         };
         let mut staying = Room::default();
         let mut victims = Vec::new();
-        for b in m.bookings.iter().filter(|b| b.stop.is_none()) {
-            staying = staying.plus(&b.need);
-            if let Some(spec) = cache.open_job(&b.job) {
+        for (task, p) in cache.bookings(id).filter(|(_, p)| p.booking.stop.is_none()) {
+            staying = staying.plus(&p.need);
+            if let Some(spec) = cache.open_job(&task.job) {
                 let saved = spec.checkpoint_s > 0.0;
                 victims.push(Victim {
-                    task: b.task(),
-                    need: b.need,
+                    task: task.clone(),
+                    need: p.need,
                     rank: spec.rank,
-                    waste: if saved { 0 } else { age(b.attempt) },
+                    waste: if saved { 0 } else { age(p.booking.attempt) },
                 });
             }
         }
@@ -95,7 +95,7 @@
                 .filter(|(_, m)| fits(m))
                 .filter_map(|(i, m)| {
                     let (count, waste) = enough(m, spec, limit)?;
-                    Some((!m.record.has_image(&spec.image), waste, count, i))
+                    Some((!cache.has_image(m.id, &spec.image), waste, count, i))
                 })
                 .min();
             let Some((_, _, count, i)) = best else { break };
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -4,8 +4,7 @@
 use crate::model::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Bound;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// All keys of the project stand under this prefix; one watch follows them all.
 pub const PREFIX: &str = "g/";
@@ -123,21 +122,56 @@
     }
 }
 
+/// A task's claim on a machine. It stands in the task's chunk from the claim until its
+/// attempt is proven gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Booking {
+    #[serde(rename = "m")]
+    pub machine: String,
+    #[serde(rename = "a")]
+    pub attempt: u64,
+    /// (session, tally) of the check-in whose answer carries the start.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub armed: Option<(u64, u64)>,
+    /// (session, token) of the direct command that carries the start. One is sent at most.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub direct: Option<(u64, u64)>,
+    /// To be stopped, with this reason.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub stop: Option<String>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TaskState {
     #[serde(rename = "w")]
     Waiting,
     #[serde(rename = "d")]
     Done,
-    /// Booked on a machine, as an attempt, in a zone.
     #[serde(rename = "b")]
-    Booked(String, u64, String),
+    Booked(Booking),
+}
+
+impl TaskState {
+    pub fn booking(&self) -> Option<&Booking> {
+        match self {
+            TaskState::Booked(b) => Some(b),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRecord {
+    /// Number of the first task in it.
+    #[serde(rename = "i", default)]
+    pub first: u32,
     #[serde(rename = "t")]
     pub tasks: Vec<TaskState>,
+    /// What its tasks use and of whose limit: stays known after the job is over.
+    #[serde(rename = "o", default)]
+    pub team: String,
+    #[serde(rename = "u", default)]
+    pub need: Room,
     /// Machines on which tasks of this chunk failed, without repeats.
     #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
     pub failed_on: Vec<String>,
@@ -150,25 +184,50 @@
 
 impl ChunkRecord {
     /// What an absent record of chunk `n` means: all its tasks wait.
-    pub fn fresh(job: &JobRecord, n: u32) -> ChunkRecord {
+    pub fn fresh(job: &JobRecord, spec: &JobSpec, n: u32) -> ChunkRecord {
         let first = n.saturating_mul(job.chunk);
         let len = job.tasks.saturating_sub(first).min(job.chunk);
         ChunkRecord {
+            first,
             tasks: vec![TaskState::Waiting; len as usize],
+            team: spec.team.clone(),
+            need: spec.need,
             ..ChunkRecord::default()
         }
     }
     pub fn done(&self) -> u32 {
         self.tasks.iter().filter(|t| **t == TaskState::Done).count() as u32
     }
-    pub fn booked(&self) -> impl Iterator<Item = (&String, u64, &String)> {
-        self.tasks.iter().filter_map(|t| match t {
-            TaskState::Booked(m, a, z) => Some((m, *a, z)),
+    /// Tasks that are booked, by their number in the job.
+    pub fn booked(&self) -> impl Iterator<Item = (u32, &Booking)> {
+        let tasks = self.tasks.iter().enumerate();
+        tasks.filter_map(|(i, t)| Some((self.first + i as u32, t.booking()?)))
+    }
+    pub fn booking(&self, index: u32) -> Option<&Booking> {
+        let slot = index.checked_sub(self.first)?;
+        self.tasks.get(slot as usize)?.booking()
+    }
+    pub fn booking_mut(&mut self, index: u32) -> Option<&mut Booking> {
+        let slot = index.checked_sub(self.first)?;
+        match self.tasks.get_mut(slot as usize)? {
+            TaskState::Booked(b) => Some(b),
             _ => None,
-        })
+        }
+    }
+    /// Bytes its value takes at most.
+    pub fn size(&self) -> usize {
+        let tasks: usize = (self.tasks.iter())
+            .map(|t| t.booking().map_or(4, booking_size))
+            .sum();
+        let failed: usize = self.failed_on.iter().map(|m| m.len() + 3).sum();
+        CHUNK_BASE_BYTES + self.team.len() + failed + tasks
     }
 }
 
+fn booking_size(b: &Booking) -> usize {
+    BOOKING_BYTES + b.machine.len() + b.stop.as_ref().map_or(0, |why| why.len() + 7)
+}
+
 /// Live tasks per zone, for jobs of several chunks whose zones depend on one another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PlaceRecord {
@@ -186,38 +245,6 @@
     Returning,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Booking {
-    #[serde(rename = "j")]
-    pub job: String,
-    #[serde(rename = "i")]
-    pub index: u32,
-    #[serde(rename = "a")]
-    pub attempt: u64,
-    #[serde(rename = "t")]
-    pub team: String,
-    #[serde(rename = "n")]
-    pub need: Room,
-    /// (session, tally) of the check-in whose answer carries the start.
-    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub armed: Option<(u64, u64)>,
-    /// (session, token) of the direct command that carries the start. One is sent at most.
-    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
-    pub direct: Option<(u64, u64)>,
-    /// To be stopped, with this reason.
-    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
-    pub stop: Option<String>,
-}
-
-impl Booking {
-    pub fn task(&self) -> TaskId {
-        TaskId {
-            job: self.job.clone(),
-            index: self.index,
-        }
-    }
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineRecord {
     #[serde(rename = "type")]
@@ -229,11 +256,6 @@
     pub at: WallMs,
     #[serde(default)]
     pub address: String,
-    #[serde(default)]
-    pub bookings: Vec<Booking>,
-    /// Images it has had, latest last, with their size in GB.
-    #[serde(default)]
-    pub images: Vec<(String, f64)>,
     /// Jobs that failed on it since its last success.
     #[serde(default)]
     pub faults: Vec<String>,
@@ -257,8 +279,6 @@
             phase,
             at,
             address: String::new(),
-            bookings: Vec::new(),
-            images: Vec::new(),
             faults: Vec::new(),
             raised: 0,
         }
@@ -267,26 +287,11 @@
     pub fn is_up(&self) -> bool {
         matches!(self.phase, MachinePhase::Up | MachinePhase::Draining)
     }
-    pub fn used(&self) -> Room {
-        self.bookings
-            .iter()
-            .fold(Room::default(), |sum, b| sum.plus(&b.need))
-    }
-    pub fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(i, _)| i == image)
-    }
-    pub fn note_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| i != image);
-        self.images.push((image.to_string(), gb));
-        while self.images.len() > 1
-            && (self.images.len() > MACHINE_IMAGES
-                || self.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache_gb)
-        {
-            self.images.remove(0);
-        }
-    }
 }
 
+/// Processors and GPUs in use. As a record it is what each claim of a team with a limit
+/// writes, so that two of them can't both fit into what only one of them may take; what is in
+/// use is counted from the bookings.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TeamRecord {
     pub cpus: u64,
@@ -303,6 +308,9 @@
     pub count: u32,
     pub node: String,
     pub at: WallMs,
+    /// The machines it brought. The record goes once each of them has one of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hosts: Option<Vec<String>>,
 }
 
 impl HireRecord {
@@ -377,41 +385,78 @@
     }
 }
 
-#[derive(Clone, Debug)]
-pub struct Row {
-    pub stamp: u64,
-    pub record: Record,
+/// A record and the revision of its latest change.
+type Table<K, R> = BTreeMap<K, (R, u64)>;
+
+/// What a machine holds, gathered from the chunks.
+#[derive(Debug, Default)]
+struct Holding {
+    tasks: BTreeMap<TaskId, Placed>,
+    used: Room,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placed {
+    pub booking: Booking,
+    pub need: Room,
+}
+
+/// Tasks of a job by state, gathered from its chunks.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub booked: u32,
+    pub done: u32,
 }
 
-/// This node's copy of the records, with the revision up to which it is complete.
+/// This node's copy of the records, with the revision up to which it is complete, and what
+/// is looked up in them often.
 #[derive(Debug, Default)]
 pub struct Cache {
-    rows: BTreeMap<Key, Row>,
+    term: Table<(), TermRecord>,
+    fleet: Table<(), FleetRecord>,
+    jobs: Table<String, JobRecord>,
+    chunks: BTreeMap<String, Table<u32, ChunkRecord>>,
+    places: Table<String, PlaceRecord>,
+    machines: Table<String, MachineRecord>,
+    teams: Table<String, TeamRecord>,
+    hires: Table<u64, HireRecord>,
     pub epoch: u64,
+    // Gathered
+    open: BTreeSet<String>,
+    counts: BTreeMap<String, Counts>,
+    held: HashMap<String, Holding>,
+    usage: BTreeMap<String, TeamRecord>,
+    /// Images each machine has had, latest last, with their size in GB. Only a hint: it is
+    /// not kept in the records, where it would cost a put for each.
+    images: HashMap<String, Vec<(String, f64)>>,
+    /// Room for images per type, in GB.
+    pub cache_gb: HashMap<String, f64>,
+}
+
+fn keep<K: Ord, R>(table: &mut Table<K, R>, key: K, record: R, stamp: u64) -> bool {
+    if table.get(&key).is_some_and(|(_, s)| *s >= stamp) {
+        return false;
+    }
+    table.insert(key, (record, stamp));
+    true
+}
+
+fn drop_older<K: Ord, R>(table: &mut Table<K, R>, key: &K, stamp: u64) {
+    if table.get(key).is_some_and(|(_, s)| *s < stamp) {
+        table.remove(key);
+    }
 }
 
 macro_rules! accessors {
-    ($one:ident, $all:ident, $variant:ident, $record:ty, $key:ty) => {
+    ($one:ident, $all:ident, $record:ty, $key:ty) => {
         pub fn $one(&self, key: &$key) -> Option<&$record> {
-            match self.rows.get(&Key::$variant(key.to_owned())) {
-                Some(Row {
-                    record: Record::$variant(r),
-                    ..
-                }) => Some(r),
-                _ => None,
-            }
+            self.$all.get(key).map(|(r, _)| r)
         }
         pub fn $all(&self) -> impl Iterator<Item = (&$key, &$record, u64)> {
-            let first = Key::$variant(<$key as ToOwned>::Owned::default());
-            self.rows
-                .range((Bound::Included(first), Bound::Unbounded))
-                .map_while(|(k, row)| match (k, &row.record) {
-                    (Key::$variant(k), Record::$variant(r)) => {
-                        let k: &$key = k;
-                        Some((k, r, row.stamp))
-                    }
-                    _ => None,
-                })
+            self.$all.iter().map(|(k, (r, stamp))| {
+                let k: &$key = k;
+                (k, r, *stamp)
+            })
         }
     };
 }
@@ -421,80 +466,299 @@
     pub fn open_job(&self, id: &str) -> Option<&JobSpec> {
         self.job(id).and_then(|j| j.open())
     }
+    /// Open jobs, in order of their names.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (&str, &JobRecord, &JobSpec)> {
+        self.open.iter().filter_map(|id| {
+            let job = self.job(id)?;
+            Some((id.as_str(), job, job.open()?))
+        })
+    }
 
-    accessors!(job, jobs, Job, JobRecord, str);
-    accessors!(machine, machines, Machine, MachineRecord, str);
-    accessors!(team, teams, Team, TeamRecord, str);
-    accessors!(place, places, Place, PlaceRecord, str);
-    accessors!(hire, hires, Hire, HireRecord, u64);
+    accessors!(job, jobs, JobRecord, str);
+    accessors!(machine, machines, MachineRecord, str);
+    accessors!(place, places, PlaceRecord, str);
+    accessors!(hire, hires, HireRecord, u64);
 
     pub fn stamp(&self, key: &Key) -> u64 {
-        self.rows.get(key).map_or(0, |r| r.stamp)
+        fn of<R>(row: Option<&(R, u64)>) -> u64 {
+            row.map_or(0, |(_, stamp)| *stamp)
+        }
+        match key {
+            Key::Term => of(self.term.get(&())),
+            Key::Fleet => of(self.fleet.get(&())),
+            Key::Job(id) => of(self.jobs.get(id)),
+            Key::Chunk(id, n) => self.chunk_stamp(id, *n),
+            Key::Place(id) => of(self.places.get(id)),
+            Key::Machine(id) => of(self.machines.get(id)),
+            Key::Team(id) => of(self.teams.get(id)),
+            Key::Hire(n) => of(self.hires.get(n)),
+        }
+    }
+    pub fn get(&self, key: &Key) -> Option<Record> {
+        Some(match key {
+            Key::Term => Record::Term(self.term.get(&())?.0.clone()),
+            Key::Fleet => Record::Fleet(self.fleet.get(&())?.0.clone()),
+            Key::Job(id) => Record::Job(self.job(id)?.clone()),
+            Key::Chunk(id, n) => Record::Chunk(self.chunk(id, *n)?.clone()),
+            Key::Place(id) => Record::Place(self.place(id)?.clone()),
+            Key::Machine(id) => Record::Machine(self.machine(id)?.clone()),
+            Key::Team(id) => Record::Team(self.teams.get(id)?.0.clone()),
+            Key::Hire(n) => Record::Hire(self.hire(n)?.clone()),
+        })
+    }
+    pub fn job_stamp(&self, id: &str) -> u64 {
+        self.jobs.get(id).map_or(0, |(_, stamp)| *stamp)
     }
-    pub fn get(&self, key: &Key) -> Option<&Record> {
-        self.rows.get(key).map(|r| &r.record)
+    pub fn machine_stamp(&self, id: &str) -> u64 {
+        self.machines.get(id).map_or(0, |(_, stamp)| *stamp)
     }
     pub fn chunk(&self, job: &str, n: u32) -> Option<&ChunkRecord> {
-        match self.get(&Key::Chunk(job.to_string(), n)) {
-            Some(Record::Chunk(r)) => Some(r),
-            _ => None,
+        self.chunks.get(job)?.get(&n).map(|(c, _)| c)
+    }
+    pub fn chunk_stamp(&self, job: &str, n: u32) -> u64 {
+        let row = self.chunks.get(job).and_then(|c| c.get(&n));
+        row.map_or(0, |(_, stamp)| *stamp)
+    }
+    /// The revision that a claim in this chunk is conditional on, and its attempt. A chunk that
+    /// is not on record yet has none; its job's serves once, and lies below all that follow.
+    pub fn claim_stamp(&self, job: &str, n: u32) -> u64 {
+        match self.chunk_stamp(job, n) {
+            0 => self.job_stamp(job),
+            stamp => stamp,
         }
     }
-    pub fn chunks_of<'a>(&'a self, job: &'a str) -> impl Iterator<Item = (u32, &'a ChunkRecord)> {
-        self.rows
-            .range(Key::Chunk(job.to_string(), 0)..)
-            .map_while(move |(k, row)| match (k, &row.record) {
-                (Key::Chunk(j, n), Record::Chunk(r)) if j == job => Some((*n, r)),
-                _ => None,
-            })
+    pub fn chunks_of(&self, job: &str) -> impl Iterator<Item = (u32, &ChunkRecord)> {
+        let chunks = self.chunks.get(job).into_iter().flatten();
+        chunks.map(|(n, (c, _))| (*n, c))
     }
-    pub fn chunk_keys(&self) -> impl Iterator<Item = (&String, u32)> {
-        self.rows
-            .range(Key::Chunk(String::new(), 0)..)
-            .map_while(|(k, _)| match k {
-                Key::Chunk(j, n) => Some((j, *n)),
-                _ => None,
-            })
+    /// Jobs with chunks on record, open or not, and how far they are.
+    pub fn counted(&self) -> impl Iterator<Item = (&str, Counts)> {
+        self.counts.iter().map(|(id, c)| (id.as_str(), *c))
+    }
+    pub fn counts(&self, job: &str) -> Counts {
+        self.counts.get(job).copied().unwrap_or_default()
     }
     pub fn fleet(&self) -> FleetRecord {
-        match self.get(&Key::Fleet) {
-            Some(Record::Fleet(f)) => f.clone(),
-            _ => FleetRecord::default(),
-        }
+        self.fleet
+            .get(&())
+            .map_or(FleetRecord::default(), |(f, _)| f.clone())
     }
     pub fn term(&self) -> Option<u64> {
-        match self.get(&Key::Term) {
-            Some(Record::Term(t)) => Some(t.term),
-            _ => None,
+        self.term.get(&()).map(|(t, _)| t.term)
+    }
+
+    /// Tasks booked on a machine.
+    pub fn bookings(&self, machine: &str) -> impl Iterator<Item = (&TaskId, &Placed)> {
+        self.held.get(machine).into_iter().flat_map(|h| &h.tasks)
+    }
+    pub fn booking(&self, machine: &str, task: &TaskId) -> Option<&Placed> {
+        self.held.get(machine)?.tasks.get(task)
+    }
+    pub fn booked_tasks(&self, machine: &str) -> usize {
+        self.held.get(machine).map_or(0, |h| h.tasks.len())
+    }
+    /// Room taken on a machine.
+    pub fn used(&self, machine: &str) -> Room {
+        self.held.get(machine).map_or(Room::default(), |h| h.used)
+    }
+    pub fn usage(&self, team: &str) -> TeamRecord {
+        self.usage.get(team).cloned().unwrap_or_default()
+    }
+    pub fn has_image(&self, machine: &str, image: &str) -> bool {
+        let images = self.images.get(machine);
+        images.is_some_and(|list| list.iter().any(|(i, _)| i == image))
+    }
+
+    fn note_image(&mut self, machine: &str, job: &str) {
+        let Some(spec) = self.jobs.get(job).and_then(|(j, _)| j.spec.as_ref()) else {
+            return;
+        };
+        let room = self
+            .machines
+            .get(machine)
+            .and_then(|(m, _)| self.cache_gb.get(&m.type_name))
+            .copied()
+            .unwrap_or(f64::INFINITY);
+        let images = self.images.entry(machine.to_string()).or_default();
+        images.retain(|(i, _)| *i != spec.image);
+        images.push((spec.image.clone(), spec.image_gb));
+        while images.len() > 1
+            && (images.len() > MACHINE_IMAGES
+                || images.iter().map(|(_, gb)| gb).sum::<f64>() > room)
+        {
+            images.remove(0);
+        }
+    }
+
+    /// Keeps what is gathered from chunks in step with one that changed.
+    fn gather(&mut self, job: &str, old: Option<ChunkRecord>, new: Option<ChunkRecord>) {
+        let counts = self.counts.entry(job.to_string()).or_default();
+        for (chunk, add) in [(&old, false), (&new, true)] {
+            let Some(chunk) = chunk else { continue };
+            let booked = chunk.booked().count() as u32;
+            let done = chunk.done();
+            if add {
+                counts.booked += booked;
+                counts.done += done;
+            } else {
+                counts.booked = counts.booked.saturating_sub(booked);
+                counts.done = counts.done.saturating_sub(done);
+            }
+        }
+        if !self.chunks.contains_key(job) {
+            self.counts.remove(job);
+        }
+        let booking = |chunk: &Option<ChunkRecord>, index| {
+            chunk.as_ref().and_then(|c| c.booking(index)).cloned()
+        };
+        for (index, b) in old.iter().flat_map(|c| c.booked()) {
+            if booking(&new, index).as_ref() != Some(b) {
+                let need = old.as_ref().map_or(Room::default(), |c| c.need);
+                let task = TaskId {
+                    job: job.to_string(),
+                    index,
+                };
+                if let Some(holding) = self.held.get_mut(&b.machine) {
+                    holding.tasks.remove(&task);
+                    holding.used = holding.used.less(&need);
+                    if holding.tasks.is_empty() {
+                        self.held.remove(&b.machine);
+                    }
+                }
+                let team = old.as_ref().map_or("", |c| c.team.as_str());
+                if let Some(usage) = self.usage.get_mut(team) {
+                    usage.cpus = usage.cpus.saturating_sub(need.cpus);
+                    usage.gpus = usage.gpus.saturating_sub(need.gpus);
+                }
+            }
+        }
+        let Some(chunk) = &new else { return };
+        for (index, b) in chunk.booked() {
+            if booking(&old, index).as_ref() != Some(b) {
+                let task = TaskId {
+                    job: job.to_string(),
+                    index,
+                };
+                let need = chunk.need;
+                let holding = self.held.entry(b.machine.clone()).or_default();
+                holding.used = holding.used.plus(&need);
+                holding.tasks.insert(
+                    task,
+                    Placed {
+                        booking: b.clone(),
+                        need,
+                    },
+                );
+                let usage = self.usage.entry(chunk.team.clone()).or_default();
+                usage.cpus = usage.cpus.saturating_add(need.cpus);
+                usage.gpus = usage.gpus.saturating_add(need.gpus);
+                self.note_image(&b.machine, job);
+            }
         }
     }
 
     /// Takes up a record unless a later state of it is known already.
     pub fn put(&mut self, key: Key, stamp: u64, record: Record) {
-        match self.rows.get_mut(&key) {
-            Some(row) if row.stamp >= stamp => {}
-            Some(row) => *row = Row { stamp, record },
-            None => {
-                self.rows.insert(key, Row { stamp, record });
+        match (key, record) {
+            (Key::Term, Record::Term(r)) => {
+                keep(&mut self.term, (), r, stamp);
+            }
+            (Key::Fleet, Record::Fleet(r)) => {
+                keep(&mut self.fleet, (), r, stamp);
+            }
+            (Key::Job(id), Record::Job(r)) => {
+                let open = r.open().is_some();
+                if keep(&mut self.jobs, id.clone(), r, stamp) {
+                    match open {
+                        true => self.open.insert(id),
+                        false => self.open.remove(&id),
+                    };
+                }
+            }
+            (Key::Chunk(id, n), Record::Chunk(r)) => {
+                let chunks = self.chunks.entry(id.clone()).or_default();
+                if chunks.get(&n).is_some_and(|(_, s)| *s >= stamp) {
+                    return;
+                }
+                let old = chunks.insert(n, (r.clone(), stamp)).map(|(c, _)| c);
+                self.gather(&id, old, Some(r));
+            }
+            (Key::Place(id), Record::Place(r)) => {
+                keep(&mut self.places, id, r, stamp);
             }
+            (Key::Machine(id), Record::Machine(r)) => {
+                keep(&mut self.machines, id, r, stamp);
+            }
+            (Key::Team(id), Record::Team(r)) => {
+                keep(&mut self.teams, id, r, stamp);
+            }
+            (Key::Hire(n), Record::Hire(r)) => {
+                keep(&mut self.hires, n, r, stamp);
+            }
+            _ => {}
         }
     }
     pub fn remove(&mut self, key: &Key, stamp: u64) {
-        if self.rows.get(key).is_some_and(|row| row.stamp < stamp) {
-            self.rows.remove(key);
+        match key {
+            Key::Term => drop_older(&mut self.term, &(), stamp),
+            Key::Fleet => drop_older(&mut self.fleet, &(), stamp),
+            Key::Job(id) => {
+                drop_older(&mut self.jobs, id, stamp);
+                if !self.jobs.contains_key(id) {
+                    self.open.remove(id);
+                }
+            }
+            Key::Chunk(id, n) => {
+                let Some(chunks) = self.chunks.get_mut(id) else {
+                    return;
+                };
+                if chunks.get(n).is_some_and(|(_, s)| *s < stamp) {
+                    let old = chunks.remove(n).map(|(c, _)| c);
+                    if chunks.is_empty() {
+                        self.chunks.remove(id);
+                    }
+                    self.gather(id, old, None);
+                }
+            }
+            Key::Place(id) => drop_older(&mut self.places, id, stamp),
+            Key::Machine(id) => {
+                drop_older(&mut self.machines, id, stamp);
+                if !self.machines.contains_key(id) {
+                    self.images.remove(id);
+                }
+            }
+            Key::Team(id) => drop_older(&mut self.teams, id, stamp),
+            Key::Hire(n) => drop_older(&mut self.hires, n, stamp),
         }
     }
+    fn keys(&self) -> Vec<Key> {
+        let term = self.term.keys().map(|_| Key::Term);
+        let fleet = self.fleet.keys().map(|_| Key::Fleet);
+        let chunks = self.chunks.iter();
+        let chunks = chunks.flat_map(|(id, c)| c.keys().map(|n| Key::Chunk(id.clone(), *n)));
+        term.chain(fleet)
+            .chain(chunks)
+            .chain(self.jobs.keys().cloned().map(Key::Job))
+            .chain(self.places.keys().cloned().map(Key::Place))
+            .chain(self.machines.keys().cloned().map(Key::Machine))
+            .chain(self.teams.keys().cloned().map(Key::Team))
+            .chain(self.hires.keys().copied().map(Key::Hire))
+            .collect()
+    }
     /// After a full reading that began at `epoch`: what it did not hold is gone, unless it
     /// was written later.
     pub fn retain_listed(&mut self, listed: &BTreeSet<Key>, epoch: u64) {
-        self.rows
-            .retain(|k, row| listed.contains(k) || row.stamp > epoch);
+        for key in self.keys() {
+            if !listed.contains(&key) {
+                self.remove(&key, epoch + 1);
+            }
+        }
     }
     pub fn len(&self) -> usize {
-        self.rows.len()
+        self.keys().len()
     }
     pub fn is_empty(&self) -> bool {
-        self.rows.is_empty()
+        self.keys().is_empty()
     }
 }
 
@@ -512,17 +776,10 @@
     pub cache: &'a Cache,
     conditions: BTreeMap<Key, u64>,
     changes: BTreeMap<Key, Option<Record>>,
-}
-
-macro_rules! draft_reader {
-    ($name:ident, $variant:ident, $record:ty) => {
-        pub fn $name(&mut self, id: &str) -> Option<$record> {
-            match self.read(&Key::$variant(id.to_string())) {
-                Some(Record::$variant(r)) => Some(r),
-                _ => None,
-            }
-        }
-    };
+    /// What the claims in it add to their teams' usage.
+    claimed: BTreeMap<String, TeamRecord>,
+    /// Bytes of the changes, at most.
+    bytes: usize,
 }
 
 impl<'a> Draft<'a> {
@@ -531,40 +788,83 @@
             cache,
             conditions: BTreeMap::new(),
             changes: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            bytes: 0,
         }
     }
-    pub fn read(&mut self, key: &Key) -> Option<Record> {
-        self.conditions
-            .entry(key.clone())
-            .or_insert_with(|| self.cache.stamp(key));
-        match self.changes.get(key) {
-            Some(changed) => changed.clone(),
-            None => self.cache.get(key).cloned(),
+    /// The transaction takes effect only if this key has not changed.
+    pub fn rests_on(&mut self, key: Key) {
+        let stamp = self.cache.stamp(&key);
+        self.conditions.entry(key).or_insert(stamp);
+    }
+    pub fn machine(&mut self, id: &str) -> Option<MachineRecord> {
+        let key = Key::Machine(id.to_string());
+        self.rests_on(key.clone());
+        match self.changes.get(&key) {
+            Some(Some(Record::Machine(m))) => Some(m.clone()),
+            Some(_) => None,
+            None => self.cache.machine(id).cloned(),
         }
     }
-    draft_reader!(job, Job, JobRecord);
-    draft_reader!(machine, Machine, MachineRecord);
-    draft_reader!(team, Team, TeamRecord);
-    draft_reader!(place, Place, PlaceRecord);
-
-    pub fn chunk(&mut self, job: &JobRecord, id: &str, n: u32) -> ChunkRecord {
-        match self.read(&Key::Chunk(id.to_string(), n)) {
-            Some(Record::Chunk(r)) => r,
-            _ => ChunkRecord::fresh(job, n),
+    pub fn fleet(&mut self) -> FleetRecord {
+        self.rests_on(Key::Fleet);
+        match self.changes.get(&Key::Fleet) {
+            Some(Some(Record::Fleet(f))) => f.clone(),
+            _ => self.cache.fleet(),
+        }
+    }
+    /// A chunk as this draft sees it; none if it is neither on record nor drafted.
+    pub fn chunk(&self, job: &str, n: u32) -> Option<&ChunkRecord> {
+        match self.changes.get(&Key::Chunk(job.to_string(), n)) {
+            Some(Some(Record::Chunk(c))) => Some(c),
+            Some(_) => None,
+            None => self.cache.chunk(job, n),
+        }
+    }
+    /// A chunk to be changed; `fresh` makes one that is not on record yet.
+    pub fn chunk_mut(
+        &mut self,
+        job: &str,
+        n: u32,
+        fresh: impl FnOnce() -> Option<ChunkRecord>,
+    ) -> Option<&mut ChunkRecord> {
+        let key = Key::Chunk(job.to_string(), n);
+        if !self.changes.contains_key(&key) {
+            let chunk = self.cache.chunk(job, n).cloned().or_else(fresh)?;
+            self.put(key.clone(), Record::Chunk(chunk));
+        }
+        match self.changes.get_mut(&key) {
+            Some(Some(Record::Chunk(c))) => Some(c),
+            _ => None,
         }
     }
     pub fn put(&mut self, key: Key, record: Record) {
-        self.conditions
-            .entry(key.clone())
-            .or_insert_with(|| self.cache.stamp(&key));
+        self.rests_on(key.clone());
+        self.bytes += match &record {
+            Record::Chunk(c) => c.size(),
+            _ if self.changes.contains_key(&key) => 0,
+            _ => SMALL_RECORD_BYTES,
+        };
         self.changes.insert(key, Some(record));
     }
     pub fn remove(&mut self, key: Key) {
-        self.conditions
-            .entry(key.clone())
-            .or_insert_with(|| self.cache.stamp(&key));
+        self.rests_on(key.clone());
         self.changes.insert(key, None);
     }
+    /// The team's usage with what this draft claims.
+    pub fn usage(&self, team: &str) -> TeamRecord {
+        let mut usage = self.cache.usage(team);
+        if let Some(more) = self.claimed.get(team) {
+            usage.cpus = usage.cpus.saturating_add(more.cpus);
+            usage.gpus = usage.gpus.saturating_add(more.gpus);
+        }
+        usage
+    }
+    pub fn use_more(&mut self, team: &str, need: &Room) {
+        let claimed = self.claimed.entry(team.to_string()).or_default();
+        claimed.cpus = claimed.cpus.saturating_add(need.cpus);
+        claimed.gpus = claimed.gpus.saturating_add(need.gpus);
+    }
     pub fn is_empty(&self) -> bool {
         self.changes.is_empty()
     }
@@ -574,23 +874,22 @@
     pub fn ops(&self) -> usize {
         self.changes.len()
     }
-    /// Whether the transaction keeps the state service's limits.
-    pub fn within(&self, txn_ops: usize) -> bool {
-        self.changes.len() <= txn_ops && self.conditions.len() <= txn_ops * CONDITIONS_PER_OP
-    }
-    pub fn bytes(&self) -> usize {
-        self.changes
-            .values()
-            .flatten()
-            .map(|r| r.value().to_string().len() + 64)
-            .sum()
-    }
-    /// State to return to with `restore`, when a step does not fit any more.
-    pub fn save(&self) -> DraftMark {
-        (self.conditions.clone(), self.changes.clone())
-    }
-    pub fn restore(&mut self, mark: DraftMark) {
-        (self.conditions, self.changes) = mark;
+    /// Whether so many more changes and conditions, and so many bytes, keep the state
+    /// service's limits.
+    pub fn has_room(
+        &self,
+        settings: &Settings,
+        changes: usize,
+        conditions: usize,
+        bytes: usize,
+    ) -> bool {
+        self.changes.len() + changes <= settings.txn_ops
+            && self.conditions.len() + conditions <= settings.txn_ops * CONDITIONS_PER_OP
+            && self.bytes + self.conditions.len() * KEY_BYTES + bytes <= TXN_BYTES
+    }
+    /// A changed record became larger.
+    pub fn grow(&mut self, bytes: usize) {
+        self.bytes += bytes;
     }
     pub fn finish(self) -> Txn {
         Txn {
@@ -599,5 +898,3 @@
         }
     }
 }
-
-pub type DraftMark = (BTreeMap<Key, u64>, BTreeMap<Key, Option<Record>>);
--- /dev/null
+++ b/crates/core/src/results.rs
@@ -0,0 +1,204 @@
+//! What check-ins and deletions proved, on its way into the records: one transaction now and
+//! then takes as much of it as fits.
+//!
+//! A check-in is answered before that. Its worker repeats what it reports until it is told to
+//! forget it, which follows the commit, so a node that ends in between loses nothing.
+
+use crate::claims::{self, Outcome};
+use crate::constants::*;
+use crate::model::*;
+use crate::node::*;
+use crate::records::*;
+
+impl Node {
+    /// Records what is waiting for it, in order of what others wait for most: results, starts
+    /// that a held check-in's answer shall carry, machines.
+    pub(crate) fn flush(&mut self) {
+        if !self.loaded
+            || !self.state_ok()
+            || self.cache.term().is_none()
+            || !self.may_write()
+            || self.now < self.flushed_at + FLUSH_GAP_MS
+        {
+            return;
+        }
+        self.take_deleted();
+        let cache = &self.cache;
+        let booked = |task: &TaskId, attempt: u64| {
+            let job = cache.job(&task.job)?;
+            let chunk = cache.chunk(&task.job, task.index / job.chunk.max(1))?;
+            chunk.booking(task.index).filter(|b| b.attempt == attempt)
+        };
+        self.results
+            .retain(|(task, at), _| booked(task, *at).is_some());
+        self.saves
+            .retain(|(task, at)| booked(task, *at).is_some_and(|b| b.stop.is_none()));
+        let mut seen = std::mem::take(&mut self.seen);
+        seen.retain(|id, seen| self.updated(id, seen).is_some());
+        self.seen = seen;
+
+        let mut draft = Draft::new(&self.cache);
+        // What waits for room must not wait for a long transaction as well.
+        let mut settings = self.settings.clone();
+        if self.waiting_work {
+            settings.txn_ops = (settings.txn_ops / 2).max(6);
+        }
+        let room = |draft: &Draft, ops: usize| {
+            let bytes = settings.value_bytes as usize + 2 * SMALL_RECORD_BYTES;
+            draft.has_room(&settings, ops, ops, bytes)
+        };
+        let mut full = false;
+        for ((task, attempt), outcome) in &self.results {
+            if !room(&draft, 3) {
+                full = true;
+                break;
+            }
+            claims::release(&mut draft, task, *attempt, *outcome, self.wall);
+        }
+        let mut armed = Vec::new();
+        for (id, held) in &self.held {
+            let arms = self.to_arm(held);
+            if arms.is_empty() || !room(&draft, arms.len()) {
+                continue;
+            }
+            let mark = (held.report.session, held.report.tally);
+            for (task, attempt) in arms {
+                self.edit_booking(&mut draft, &task, attempt, |b| {
+                    b.direct = None;
+                    b.armed = Some(mark);
+                });
+            }
+            armed.push(id.clone());
+        }
+        for (task, attempt) in &self.saves {
+            if room(&draft, 1) {
+                self.edit_booking(&mut draft, task, *attempt, |b| {
+                    b.stop = Some("notice".into());
+                });
+            }
+        }
+        let mut returning = false;
+        for (id, why) in &self.condemned {
+            if !room(&draft, 1) {
+                full = true;
+                break;
+            }
+            let Some(mut machine) = draft.machine(id).or_else(|| self.rented_record(id)) else {
+                continue;
+            };
+            if machine.phase != MachinePhase::Returning {
+                let bookings = self.cache.booked_tasks(id);
+                tracing::info!(machine = id, bookings, why, "deleting");
+                machine.phase = MachinePhase::Returning;
+                draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+                returning = true;
+            }
+        }
+        for id in &self.deleted {
+            // No claim can follow: each rests on the record as it was while the machine was up.
+            if self.cache.booked_tasks(id) == 0 && room(&draft, 1) {
+                draft.remove(Key::Machine(id.clone()));
+            }
+        }
+        for (id, seen) in &self.seen {
+            if !room(&draft, 1) {
+                full = true;
+                break;
+            }
+            if let Some(machine) = self.updated(id, seen) {
+                if !draft.touches(&Key::Machine(id.clone())) {
+                    draft.put(Key::Machine(id.clone()), Record::Machine(machine));
+                }
+            }
+        }
+        if draft.is_empty() {
+            return;
+        }
+        self.flushed_at = if full { 0 } else { self.now };
+        self.writing = true;
+        let txn = draft.finish();
+        self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
+    }
+
+    pub(crate) fn flushed(&mut self, armed: Vec<String>, returning: bool, committed: bool) {
+        if !committed {
+            return;
+        }
+        self.lookup_wanted = true;
+        let cache = &self.cache;
+        self.condemned.retain(|id, _| {
+            let phase = cache.machine(id).map(|m| m.phase);
+            phase.is_some_and(|p| p != MachinePhase::Returning)
+        });
+        for id in armed {
+            self.answer_held(&id);
+        }
+        if returning {
+            self.send_delete();
+        }
+    }
+
+    /// The cloud's 200 to a deletion proves that everything on the machine is gone.
+    fn take_deleted(&mut self) {
+        let cache = &self.cache;
+        self.deleted.retain(|id| cache.machine(id).is_some());
+        for id in &self.deleted {
+            for (task, p) in self.cache.bookings(id) {
+                let key = (task.clone(), p.booking.attempt);
+                self.results.entry(key).or_insert(Outcome::Gone);
+            }
+        }
+    }
+
+    /// Changes one booking; the caller has seen to the transaction's room.
+    pub(crate) fn edit_booking(
+        &self,
+        draft: &mut Draft,
+        task: &TaskId,
+        attempt: u64,
+        edit: impl FnOnce(&mut Booking),
+    ) {
+        let Some(job) = self.cache.job(&task.job) else {
+            return;
+        };
+        let n = task.index / job.chunk.max(1);
+        let booked = draft
+            .chunk(&task.job, n)
+            .and_then(|c| c.booking(task.index));
+        if booked.is_none_or(|b| b.attempt != attempt) {
+            return;
+        }
+        if let Some(b) = draft
+            .chunk_mut(&task.job, n, || None)
+            .and_then(|c| c.booking_mut(task.index))
+        {
+            edit(b);
+        }
+    }
+
+    /// Commits, with the next flush, that a machine is to be deleted. Its bookings stay until
+    /// that is proven.
+    pub(crate) fn condemn(&mut self, id: &str, why: &'static str) {
+        let phase = self.cache.machine(id).map(|m| m.phase);
+        if phase != Some(MachinePhase::Returning) {
+            self.condemned.entry(id.to_string()).or_insert(why);
+        }
+    }
+
+    /// The record of a machine that a rental brought and that was never heard of.
+    fn rented_record(&self, id: &str) -> Option<MachineRecord> {
+        let (_, hire, _) = self
+            .cache
+            .hires()
+            .find(|(_, h, _)| h.hosts.iter().flatten().any(|host| host == id))?;
+        (!self.gone.contains(id)).then(|| {
+            MachineRecord::new(
+                &hire.type_name,
+                &hire.zone,
+                hire.spot,
+                MachinePhase::Booting,
+                self.wall,
+            )
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,300 @@
+//! What the state service tells: the first reading, the watch, proofs of freshness, and the
+//! outcomes of transactions.
+
+use crate::constants::*;
+use crate::model::*;
+use crate::node::*;
+use crate::records::*;
+
+impl Node {
+    pub(crate) fn start_proof(&mut self) {
+        let wanted = !self.unproven.is_empty()
+            || (self.loaded && self.now >= self.last_beat_read + STATE_BEAT_MS);
+        if !wanted || self.proof_busy || !self.loaded || self.now < self.last_proof + PROOF_GAP_MS {
+            return;
+        }
+        self.proof_busy = true;
+        self.last_proof = self.now;
+        self.last_beat_read = self.now;
+        self.proving = std::mem::take(&mut self.unproven);
+        let token = self.token(Purpose::Proof, None);
+        self.emit(Effect::State {
+            token,
+            op: StateOp::Proof,
+            priority: Priority::User,
+        });
+    }
+
+    pub(crate) fn reload(&mut self) {
+        self.loaded = false;
+        self.load_round += 1;
+        self.load_listed.clear();
+        self.load_epoch = 0;
+        self.load_page(None);
+    }
+
+    fn load_page(&mut self, after: Option<String>) {
+        self.load_busy = true;
+        let token = self.token(
+            Purpose::Load {
+                round: self.load_round,
+            },
+            None,
+        );
+        self.emit(Effect::State {
+            token,
+            op: StateOp::List { after },
+            priority: Priority::User,
+        });
+    }
+
+    fn loaded_page(&mut self, answer: StateAnswer) {
+        self.load_busy = false;
+        let StateAnswer::Listed {
+            items,
+            last,
+            more,
+            epoch,
+        } = answer
+        else {
+            return; // the tick tries again
+        };
+        if self.load_epoch == 0 {
+            // The first page's revision: whatever changed since is in the watch.
+            self.load_epoch = epoch;
+        }
+        for (key, stamp, record) in items {
+            self.load_high = self.load_high.max(stamp);
+            self.load_listed.insert(key.clone());
+            self.cache.put(key, stamp, record);
+        }
+        if more && last.is_some() {
+            self.load_page(last);
+            return;
+        }
+        let listed = std::mem::take(&mut self.load_listed);
+        self.cache.retain_listed(&listed, self.load_epoch);
+        self.cache.epoch = self.load_epoch;
+        self.loaded = true;
+        self.changed = true;
+        self.lookup_wanted = true;
+        tracing::info!(
+            records = self.cache.len(),
+            epoch = self.load_epoch,
+            "records read"
+        );
+        self.emit(Effect::Watch {
+            since: self.load_epoch,
+        });
+    }
+
+    pub(crate) fn watched(&mut self, epoch: u64, changes: Vec<(Key, u64, Option<Record>)>) {
+        for (key, stamp, record) in changes {
+            tracing::debug!(
+                ?key,
+                stamp,
+                cached = self.cache.stamp(&key),
+                put = record.is_some(),
+                "news"
+            );
+            self.apply(key, stamp, record, false);
+        }
+        self.cache.epoch = self.cache.epoch.max(epoch);
+        self.epochs.push_back((self.cache.epoch, self.now));
+        if self.epochs.len() > EPOCHS_REMEMBERED {
+            self.epochs.pop_front();
+        }
+        self.changed = true;
+        self.caught_up();
+    }
+
+    fn apply(&mut self, key: Key, stamp: u64, record: Option<Record>, own: bool) {
+        match record {
+            Some(record) => {
+                if let (Key::Job(id), Record::Job(job)) = (&key, &record) {
+                    if job.phase == Phase::Open && self.cache.job(id).is_none() {
+                        self.want_lookup(own);
+                    }
+                }
+                if let Key::Machine(_) | Key::Chunk(..) = &key {
+                    self.want_lookup(own);
+                }
+                if let (Key::Chunk(job, n), Record::Chunk(chunk)) = (&key, &record) {
+                    let before = self.cache.claim_stamp(job, *n);
+                    for (_, b) in chunk.booked() {
+                        if b.attempt == before {
+                            self.used_at.insert(b.machine.clone(), self.now);
+                        }
+                    }
+                }
+                self.cache.put(key, stamp, record);
+            }
+            None => {
+                if let Key::Machine(id) = &key {
+                    if self.cache.machine(id).is_some() && self.cache.stamp(&key) < stamp {
+                        self.gone.push(id.clone());
+                    }
+                }
+                self.cache.remove(&key, stamp);
+            }
+        }
+        self.changed = true;
+    }
+
+    /// A change of this node's own is looked at now; a sibling's a little later, since the
+    /// node that made it looks first.
+    fn want_lookup(&mut self, own: bool) {
+        if own {
+            self.lookup_wanted = true;
+        } else {
+            let at = self.now + FOREIGN_LOOKUP_MS + self.settings.node_index() * 100;
+            self.lookup_at = self.lookup_at.min(at);
+        }
+    }
+
+    fn caught_up(&mut self) {
+        let epoch = self.cache.epoch;
+        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.catching)
+            .into_iter()
+            .partition(|(e, _)| *e <= epoch);
+        self.catching = waiting;
+        if self.catching.is_empty() {
+            self.trailing_since = None;
+        }
+        for (_, requests) in ready {
+            for request in requests {
+                self.proven(request);
+            }
+        }
+    }
+
+    pub(crate) fn state_answer(&mut self, token: Token, answer: StateAnswer) {
+        let Some((purpose, txn)) = self.pending.remove(&token) else {
+            return;
+        };
+        match &answer {
+            StateAnswer::Unavailable | StateAnswer::NoAnswer => {}
+            _ => self.last_ok = Some(self.now),
+        }
+        let committed = matches!(answer, StateAnswer::Committed { .. });
+        if let (StateAnswer::Committed { epoch }, Some(txn)) = (&answer, &txn) {
+            for (key, record) in &txn.changes {
+                self.apply(key.clone(), *epoch, record.clone(), true);
+            }
+        }
+        if let (StateAnswer::Refused, Some(txn)) = (&answer, &txn) {
+            tracing::error!(
+                ?purpose,
+                changes = txn.changes.len(),
+                "transaction was malformed"
+            );
+        }
+        if txn.is_some() && !committed {
+            tracing::debug!(?purpose, ?answer, "transaction lost");
+        }
+        match purpose {
+            Purpose::Proof => {
+                self.proof_busy = false;
+                let requests = std::mem::take(&mut self.proving);
+                match answer {
+                    StateAnswer::Proof { epoch } => {
+                        if epoch > self.cache.epoch && self.trailing_since.is_none() {
+                            self.trailing_since = Some(self.now);
+                        }
+                        self.catching.push((epoch, requests));
+                        self.caught_up();
+                    }
+                    _ => {
+                        for request in requests {
+                            self.unproved(request);
+                        }
+                    }
+                }
+            }
+            Purpose::Load { round } => {
+                if round == self.load_round {
+                    self.loaded_page(answer);
+                }
+            }
+            Purpose::Ask(request) => self.ask_committed(request, committed),
+            Purpose::Flush { armed, returning } => {
+                self.written(&answer);
+                self.flushed(armed, returning, committed);
+            }
+            Purpose::Lookup(claimed) => {
+                self.written(&answer);
+                if committed {
+                    for (task, machine) in &claimed {
+                        tracing::info!(%task, machine, "claimed");
+                    }
+                    self.command_starts(&claimed);
+                    self.lookup_wanted = true;
+                } else {
+                    // Another node won, or the outcome is unknown: look again once the
+                    // watch has told what is true.
+                    tracing::debug!(tasks = claimed.len(), "claim lost");
+                    self.lookup_wanted = true;
+                }
+            }
+            Purpose::NewHires(hires) => {
+                self.hire_busy = false;
+                if committed {
+                    for n in hires {
+                        self.send_hire(n);
+                    }
+                } else {
+                    self.lookup_at = self.lookup_at.min(self.now + 200);
+                }
+            }
+            Purpose::Tidy(n) => {
+                self.tidying.remove(&n);
+            }
+            Purpose::HireDone(n) => {
+                if committed {
+                    // What was refused here is wanted elsewhere.
+                    self.lookup_wanted = true;
+                } else {
+                    // The cloud answers the same name the same way: ask it again.
+                    self.hire_tried
+                        .insert(n, self.now + HIRE_AGAIN_MS - HIRE_RETRY_MS);
+                }
+            }
+            Purpose::Stop(stops) => {
+                self.written(&answer);
+                for (id, task) in stops.iter().filter(|_| committed) {
+                    self.command_stop(id, task);
+                }
+            }
+            Purpose::Finish(id) => {
+                self.finishing.remove(&id);
+            }
+            Purpose::Sweep => self.sweep_busy = false,
+            Purpose::Term => self.term_busy = false,
+            Purpose::Hire(_) | Purpose::Delete(_) | Purpose::Types | Purpose::Hosts => {}
+        }
+    }
+
+    /// When to try again what did not commit: once the watch has brought what stood in the
+    /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
+    fn written(&mut self, answer: &StateAnswer) {
+        self.writing = false;
+        self.write_retry = self.retry_after(answer);
+        self.changed = true;
+    }
+
+    /// Whether a transaction on bookings may be sent now.
+    pub(crate) fn may_write(&self) -> bool {
+        !self.writing
+            && self
+                .write_retry
+                .is_none_or(|(epoch, at)| self.cache.epoch >= epoch || self.now >= at)
+    }
+
+    fn retry_after(&self, answer: &StateAnswer) -> Option<(u64, Millis)> {
+        match answer {
+            StateAnswer::Committed { .. } => None,
+            StateAnswer::Conflict { epoch } => Some((*epoch, self.now + CONFLICT_PAUSE_MS)),
+            _ => Some((u64::MAX, self.now + CONFLICT_PAUSE_MS)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sweeping.rs
@@ -0,0 +1,82 @@
+//! Ending jobs of several chunks, and clearing what nothing needs any more.
+
+use crate::node::*;
+use crate::records::*;
+
+impl Node {
+    /// A job of several chunks is done once all of them are; a done chunk never changes.
+    pub(crate) fn finish_jobs(&mut self) {
+        let mut due = Vec::new();
+        for (id, counts) in self.cache.counted() {
+            let Some(job) = self.cache.job(id).filter(|j| j.phase == Phase::Open) else {
+                continue;
+            };
+            if job.chunks() > 1 && counts.done == job.tasks && !self.finishing.contains(id) {
+                due.push((id.to_string(), job.over(Phase::Done, self.wall)));
+            }
+        }
+        for (id, over) in due {
+            let mut draft = Draft::new(&self.cache);
+            draft.put(Key::Job(id.clone()), Record::Job(over));
+            let txn = draft.finish();
+            self.finishing.insert(id.clone());
+            self.commit(txn, Purpose::Finish(id), Priority::Result);
+        }
+    }
+
+    /// Removes chunks and places of jobs that are over.
+    pub(crate) fn sweep(&mut self) {
+        if self.sweep_busy {
+            return;
+        }
+        let mut draft = Draft::new(&self.cache);
+        for (job, counts) in self.cache.counted() {
+            let over = self.cache.job(job).is_some_and(|j| j.phase != Phase::Open);
+            if !over || counts.booked > 0 {
+                continue;
+            }
+            for (n, _) in self.cache.chunks_of(job) {
+                if draft.ops() < self.settings.txn_ops / 2 {
+                    draft.remove(Key::Chunk(job.to_string(), n));
+                }
+            }
+        }
+        for (job, _, _) in self.cache.places() {
+            if draft.ops() < self.settings.txn_ops / 2
+                && self.cache.job(job).is_some_and(|j| j.phase != Phase::Open)
+            {
+                draft.remove(Key::Place(job.to_string()));
+            }
+        }
+        if !draft.is_empty() {
+            let txn = draft.finish();
+            self.sweep_busy = true;
+            self.commit(txn, Purpose::Sweep, Priority::Housekeeping);
+        }
+    }
+
+    /// Forgets what belongs to machines that are gone.
+    pub(crate) fn forget_old(&mut self) {
+        let cache = &self.cache;
+        self.known_since.retain(|id, _| cache.machine(id).is_some());
+        self.used_at.retain(|id, _| cache.machine(id).is_some());
+        self.heard
+            .retain(|id, h| cache.machine(id).is_some() || self.now.saturating_sub(h.at) < 60_000);
+        self.told.retain(|id, _| cache.machine(id).is_some());
+        self.idle_since.retain(|id, _| cache.machine(id).is_some());
+        self.up_since.retain(|id, _| cache.machine(id).is_some());
+        self.command_failed
+            .retain(|id, _| cache.machine(id).is_some());
+        self.unreached.retain(|id, _| cache.machine(id).is_some());
+        self.asked_at.retain(|id, _| cache.machine(id).is_some());
+        self.missing_since.retain(|(task, attempt), _| {
+            let job = cache.job(&task.job);
+            let n = job.map_or(0, |j| task.index / j.chunk.max(1));
+            let chunk = cache.chunk(&task.job, n);
+            let booking = chunk.and_then(|c| c.booking(task.index));
+            booking.is_some_and(|b| b.attempt == *attempt)
+        });
+        self.delete_tried
+            .retain(|id, _| cache.machine(id).is_some());
+    }
+}
