Flushes and lookups take turns; machine types are recorded for cloud outages

Ruled out: the watch and the reading after a start, which were up to date at 196 s.

Stories: a_node_that_starts_while_the_cloud_is_down_takes_jobs.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -24,10 +24,10 @@
         }
     }
 
-    /// Changes that may be sent now.
-    pub fn left(&mut self, now: Millis) -> usize {
+    /// Changes that may be sent now, when the bucket has been filling `times` as fast as usual.
+    pub fn left(&mut self, now: Millis, times: f64) -> usize {
         let passed = now.saturating_sub(self.at) as f64;
-        self.level = (self.level + passed * self.per_ms).min(self.most);
+        self.level = (self.level + passed * self.per_ms * times).min(self.most * times);
         self.at = self.at.max(now);
         self.level.max(0.0) as usize
     }
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -40,6 +40,9 @@
 pub const WRITE_BURST_S: f64 = 0.9;
 /// Changes that must be left to a node for a flush or a claim to be drafted.
 pub const WRITES_LEAST: usize = 4;
+/// Milliseconds after which a result is recorded before others that would share a change: users
+/// expect `done` within 3 s.
+pub const RESULT_PATIENCE_MS: u64 = 1_200;
 /// Milliseconds between two transactions that record what check-ins brought. Results that
 /// fall together share the put of their chunk.
 pub const FLUSH_GAP_MS: u64 = 250;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -213,7 +213,9 @@
                 above = above.max(b.direct.map(|(_, token)| token));
             }
         }
-        self.results.extend(ended);
+        for (key, outcome) in ended {
+            self.results.entry(key).or_insert((outcome, self.now));
+        }
         self.saves.extend(saves);
         let seen = Seen {
             address: report.address.clone(),
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -111,7 +111,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
     pub name: String,
     pub room: Room,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -310,13 +310,15 @@
     pub(crate) siblings: BTreeMap<String, Sibling>,
     pub(crate) gone: Gone,
     // What waits to be recorded: see `results`
-    pub(crate) results: BTreeMap<(TaskId, u64), Outcome>,
+    pub(crate) results: BTreeMap<(TaskId, u64), (Outcome, Millis)>,
     /// Tasks to be stopped so that they save, since their machine is about to be taken.
     pub(crate) saves: BTreeSet<(TaskId, u64)>,
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) condemned: BTreeMap<String, &'static str>,
     pub(crate) flushed_at: Millis,
     pub(crate) writes: Allowance,
+    /// The next changes are a lookup's: flushes and lookups take turns when changes are short.
+    pub(crate) lookup_next: bool,
     /// Changes that a flush may hold: halved by each conflict, since a failed transaction
     /// costs as many as one that took effect.
     pub(crate) flush_ops: usize,
@@ -416,6 +418,7 @@
             condemned: BTreeMap::new(),
             flushed_at: 0,
             writes,
+            lookup_next: false,
             flush_ops,
             used_at: HashMap::new(),
             hire_since: HashMap::new(),
@@ -558,6 +561,15 @@
             })
     }
 
+    /// Changes that may be sent to the state service now. The share of siblings that say that
+    /// they do not reach it goes to the others.
+    pub(crate) fn writes_left(&mut self) -> usize {
+        let all = self.settings.nodes.len();
+        let idle = self.fresh_siblings().filter(|s| !s.beat.state_ok).count();
+        let times = all as f64 / all.saturating_sub(idle).max(1) as f64;
+        self.writes.left(self.now, times)
+    }
+
     /// After a start, one round of reports comes in before anything is placed or judged.
     pub(crate) fn settled(&self) -> bool {
         self.now - self.started >= self.settings.report_ms * 5 / 4
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -21,10 +21,11 @@
         {
             return;
         }
-        let left = self.writes.left(self.now);
+        let left = self.writes_left();
         if left < WRITES_LEAST {
             return;
         }
+        self.lookup_next = false;
         self.lookup_wanted = false;
         let jitter = self.rng.gen_range(0..POLL_MS / 4);
         self.lookup_at = self.now + POLL_MS + jitter;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Key {
     Term,
+    Types,
     Fleet,
     Job(String),
     Chunk(String, u32),
@@ -52,6 +53,7 @@
     pub fn path(&self) -> String {
         match self {
             Key::Term => "g/term".into(),
+            Key::Types => "g/types".into(),
             Key::Fleet => "g/fleet".into(),
             Key::Job(id) => format!("g/job/{id}"),
             Key::Chunk(id, n) => format!("g/chunk/{id}/{n:04}"),
@@ -67,6 +69,7 @@
         let kind = parts.next()?;
         let key = match (kind, parts.next(), parts.next()) {
             ("term", None, None) => Key::Term,
+            ("types", None, None) => Key::Types,
             ("fleet", None, None) => Key::Fleet,
             ("job", Some(id), None) => Key::Job(id.into()),
             ("chunk", Some(id), Some(n)) => Key::Chunk(id.into(), n.parse().ok()?),
@@ -341,9 +344,17 @@
     pub term: u64,
 }
 
+/// The cloud's machine types as last read: a node that starts while the cloud is down knows
+/// what jobs can run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TypesRecord {
+    pub types: Vec<MachineType>,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
     Term(TermRecord),
+    Types(TypesRecord),
     Fleet(FleetRecord),
     Job(JobRecord),
     Chunk(ChunkRecord),
@@ -357,6 +368,7 @@
     pub fn value(&self) -> Value {
         let value = match self {
             Record::Term(r) => serde_json::to_value(r),
+            Record::Types(r) => serde_json::to_value(r),
             Record::Fleet(r) => serde_json::to_value(r),
             Record::Job(r) => serde_json::to_value(r),
             Record::Chunk(r) => serde_json::to_value(r),
@@ -374,6 +386,7 @@
         }
         match key {
             Key::Term => get(value).map(Record::Term),
+            Key::Types => get(value).map(Record::Types),
             Key::Fleet => get(value).map(Record::Fleet),
             Key::Job(_) => get(value).map(Record::Job),
             Key::Chunk(..) => get(value).map(Record::Chunk),
@@ -413,6 +426,7 @@
 #[derive(Debug, Default)]
 pub struct Cache {
     term: Table<(), TermRecord>,
+    types: Table<(), TypesRecord>,
     fleet: Table<(), FleetRecord>,
     jobs: Table<String, JobRecord>,
     chunks: BTreeMap<String, Table<u32, ChunkRecord>>,
@@ -485,6 +499,7 @@
         }
         match key {
             Key::Term => of(self.term.get(&())),
+            Key::Types => of(self.types.get(&())),
             Key::Fleet => of(self.fleet.get(&())),
             Key::Job(id) => of(self.jobs.get(id)),
             Key::Chunk(id, n) => self.chunk_stamp(id, *n),
@@ -497,6 +512,7 @@
     pub fn get(&self, key: &Key) -> Option<Record> {
         Some(match key {
             Key::Term => Record::Term(self.term.get(&())?.0.clone()),
+            Key::Types => Record::Types(self.types.get(&())?.0.clone()),
             Key::Fleet => Record::Fleet(self.fleet.get(&())?.0.clone()),
             Key::Job(id) => Record::Job(self.job(id)?.clone()),
             Key::Chunk(id, n) => Record::Chunk(self.chunk(id, *n)?.clone()),
@@ -543,6 +559,9 @@
             .get(&())
             .map_or(FleetRecord::default(), |(f, _)| f.clone())
     }
+    pub fn types(&self) -> Option<&TypesRecord> {
+        self.types.get(&()).map(|(t, _)| t)
+    }
     pub fn term(&self) -> Option<u64> {
         self.term.get(&()).map(|(t, _)| t.term)
     }
@@ -663,6 +682,9 @@
             (Key::Term, Record::Term(r)) => {
                 keep(&mut self.term, (), r, stamp);
             }
+            (Key::Types, Record::Types(r)) => {
+                keep(&mut self.types, (), r, stamp);
+            }
             (Key::Fleet, Record::Fleet(r)) => {
                 keep(&mut self.fleet, (), r, stamp);
             }
@@ -701,6 +723,7 @@
     pub fn remove(&mut self, key: &Key, stamp: u64) {
         match key {
             Key::Term => drop_older(&mut self.term, &(), stamp),
+            Key::Types => drop_older(&mut self.types, &(), stamp),
             Key::Fleet => drop_older(&mut self.fleet, &(), stamp),
             Key::Job(id) => {
                 drop_older(&mut self.jobs, id, stamp);
@@ -733,10 +756,12 @@
     }
     fn keys(&self) -> Vec<Key> {
         let term = self.term.keys().map(|_| Key::Term);
+        let types = self.types.keys().map(|_| Key::Types);
         let fleet = self.fleet.keys().map(|_| Key::Fleet);
         let chunks = self.chunks.iter();
         let chunks = chunks.flat_map(|(id, c)| c.keys().map(|n| Key::Chunk(id.clone(), *n)));
-        term.chain(fleet)
+        term.chain(types)
+            .chain(fleet)
             .chain(chunks)
             .chain(self.jobs.keys().cloned().map(Key::Job))
             .chain(self.places.keys().cloned().map(Key::Place))
--- a/crates/core/src/rentals.rs
+++ b/crates/core/src/rentals.rs
@@ -16,8 +16,8 @@
                 self.types_busy = false;
                 if let CloudAnswer::Types(types) = answer {
                     self.types_at = Some(self.now);
-                    self.types = types.into_iter().map(|t| (t.name.clone(), t)).collect();
-                    self.lookup_wanted = true;
+                    self.use_types(&types);
+                    self.keep_types(types);
                 }
             }
             (Purpose::Hosts, answer) => {
@@ -53,6 +53,39 @@
         }
     }
 
+    pub(crate) fn use_types(&mut self, types: &[MachineType]) {
+        let named = |t: &MachineType| (t.name.clone(), t.clone());
+        self.types = types.iter().map(named).collect();
+        let room = |t: &MachineType| (t.name.clone(), t.cache_gb);
+        self.cache.cache_gb = types.iter().map(room).collect();
+        self.lookup_wanted = true;
+    }
+
+    /// Records the types for nodes that start while the cloud is down. Prices that move are
+    /// no reason to.
+    fn keep_types(&mut self, types: Vec<MachineType>) {
+        let unpriced = |types: &[MachineType]| {
+            let mut types = types.to_vec();
+            for t in &mut types {
+                (t.price, t.spot_price) = (0.0, 0.0);
+            }
+            types.sort_by(|a, b| a.name.cmp(&b.name));
+            types
+        };
+        let known = self.cache.types().map(|r| unpriced(&r.types));
+        if !self.state_ok() || known.is_some_and(|known| known == unpriced(&types)) {
+            return;
+        }
+        let record = Record::Types(TypesRecord { types });
+        if record.value().to_string().len() as u64 > self.settings.value_bytes {
+            return; // more types than a value holds: each node reads them from the cloud
+        }
+        let mut draft = Draft::new(&self.cache);
+        draft.put(Key::Types, record);
+        let txn = draft.finish();
+        self.commit(txn, Purpose::Types, Priority::Housekeeping);
+    }
+
     pub(crate) fn send_hire(&mut self, n: u64) {
         let Some(h) = self.cache.hire(&n).cloned() else {
             return;
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -9,6 +9,7 @@
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
+use std::collections::BTreeMap;
 
 impl Node {
     /// Records what is waiting for it, in order of what others wait for most: results, starts
@@ -22,8 +23,8 @@
         {
             return;
         }
-        let left = self.writes.left(self.now);
-        if left < WRITES_LEAST {
+        let left = self.writes_left();
+        if left < WRITES_LEAST || self.lookup_next && self.waiting_work && self.settled() {
             return;
         }
         self.take_deleted();
@@ -54,12 +55,12 @@
             draft.has_room(settings, ops, ops, bytes)
         };
         let mut full = false;
-        for ((task, attempt), outcome) in &self.results {
+        for (task, attempt, outcome) in self.results_in_turn() {
             if !room(&draft, 3) {
                 full = true;
                 break;
             }
-            claims::release(&mut draft, task, *attempt, *outcome, self.wall);
+            claims::release(&mut draft, task, attempt, outcome, self.wall);
         }
         let mut armed = Vec::new();
         for (id, held) in &self.held {
@@ -120,15 +121,45 @@
         if draft.is_empty() {
             return;
         }
+        self.lookup_next = true;
         self.flushed_at = if full { 0 } else { self.now };
         self.writing = true;
         let txn = draft.finish();
         self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
     }
 
+    /// Results in the order in which they are recorded: what has waited long, then those that
+    /// share a chunk with most others, since a chunk costs one change however many they are.
+    fn results_in_turn(&self) -> Vec<(&TaskId, u64, Outcome)> {
+        let chunk_of = |task: &TaskId| {
+            let chunk = self.cache.job(&task.job).map_or(1, |j| j.chunk.max(1));
+            (task.job.clone(), task.index / chunk)
+        };
+        let mut chunks: BTreeMap<(String, u32), (usize, Millis)> = BTreeMap::new();
+        for ((task, _), (_, at)) in &self.results {
+            let (count, first) = chunks.entry(chunk_of(task)).or_insert((0, *at));
+            *count += 1;
+            *first = (*first).min(*at);
+        }
+        let mut turn: Vec<_> = (self.results.iter())
+            .map(|((task, attempt), (outcome, _))| {
+                let chunk = chunk_of(task);
+                let (count, first) = chunks[&chunk];
+                let patient = self.now < first + RESULT_PATIENCE_MS;
+                let rank = if patient { usize::MAX - count } else { 0 };
+                ((patient, rank, first, chunk), task, *attempt, *outcome)
+            })
+            .collect();
+        turn.sort_by(|a, b| a.0.cmp(&b.0));
+        turn.into_iter()
+            .map(|(_, task, attempt, outcome)| (task, attempt, outcome))
+            .collect()
+    }
+
     pub(crate) fn flushed(&mut self, armed: Vec<String>, returning: bool, committed: bool) {
         if !committed {
             self.flush_ops = (self.flush_ops / 2).max(WRITES_LEAST);
+            self.lookup_next = false;
             return;
         }
         self.flush_ops = (self.flush_ops * 2).min(self.settings.txn_ops);
@@ -153,7 +184,7 @@
         for id in &self.deleted {
             for (task, p) in self.cache.bookings(id) {
                 let key = (task.clone(), p.booking.attempt);
-                self.results.entry(key).or_insert(Outcome::Gone);
+                self.results.entry(key).or_insert((Outcome::Gone, self.now));
             }
         }
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -72,6 +72,14 @@
             self.load_page(last);
             return;
         }
+        if let Some(record) = self
+            .cache
+            .types()
+            .filter(|_| self.types.is_empty())
+            .cloned()
+        {
+            self.use_types(&record.types);
+        }
         let listed = std::mem::take(&mut self.load_listed);
         self.cache.retain_listed(&listed, self.load_epoch);
         self.cache.epoch = self.load_epoch;
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -334,6 +334,22 @@
     assert!(w.deleted.contains(&name));
 }
 
+#[test]
+fn a_node_that_starts_while_the_cloud_is_down_takes_jobs() {
+    let mut w = settled(30, 2, 2);
+    w.cloud_down = true;
+    w.crash(0, 1_000);
+    w.crash(1, 1_000);
+    w.run(2_000);
+    assert!(w
+        .nodes
+        .iter()
+        .all(|s| s.node.as_ref().is_some_and(|n| n.ready())));
+    let r = w.submit(0, job("j-1", 1));
+    assert_eq!(w.answer(r), UserReply::Accepted { job: "j-1".into() });
+    w.until(20_000, "done", |w| done(w, "j-1"));
+}
+
 #[test]
 fn hundreds_of_machines_cost_few_changes_and_quiet_ones_none() {
     // The state service takes 50 changes a second from all nodes together.
