--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -25,8 +25,8 @@
 pub const SMALL_RECORD_BYTES: usize = 900;
 /// Bytes of a key in a transaction.
 pub const KEY_BYTES: usize = 60;
-/// Images remembered per machine: more are never warm at once on the types seen.
-pub const MACHINE_IMAGES: usize = 12;
+/// Images remembered per machine: caches of 70 GB hold some 50 of 1.4 GB.
+pub const MACHINE_IMAGES: usize = 64;
 /// Bytes that a transaction may have in all (64 KiB by protocol), less some room.
 pub const TXN_BYTES: usize = 60_000;
 /// Conditions allowed per put of a transaction, by protocol.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -250,6 +250,12 @@
     most: usize,
     wall: WallMs,
 ) -> Plan {
+    let round = Round {
+        cache,
+        settings,
+        types,
+        wall,
+    };
     let mut draft = Draft::limited(cache, most);
     let mut result = Plan::default();
     let mut reserve = Reserve::new(cache, settings, types, machines, wall);
@@ -257,17 +263,9 @@
     'all: for class in classes {
         for warm in [true, false] {
             for waiting in class.iter_mut() {
-                if !serve(
-                    cache,
-                    settings,
-                    &mut draft,
-                    &mut reserve,
-                    waiting,
-                    machines,
-                    warm,
-                    wall,
-                    &mut result,
-                ) {
+                let placed = round.serve(&mut draft, &mut reserve, waiting, machines, warm);
+                result.claimed.extend(placed.claimed);
+                if placed.full {
                     result.full = true;
                     break 'all;
                 }
@@ -278,99 +276,142 @@
     result
 }
 
-/// Places a job's waiting tasks on the machines that suit it best; false when the
-/// transaction is full.
-#[allow(clippy::too_many_arguments)]
-fn serve(
-    cache: &Cache,
-    settings: &Settings,
-    draft: &mut Draft,
-    reserve: &mut Reserve,
-    waiting: &mut Waiting,
-    machines: &mut [Candidate],
-    warm: bool,
+#[derive(Default)]
+struct Placement {
+    claimed: Vec<(TaskId, String)>,
+    full: bool,
+}
+
+/// What one lookup rests on.
+struct Round<'a> {
+    cache: &'a Cache,
+    settings: &'a Settings,
+    types: &'a HashMap<String, MachineType>,
     wall: WallMs,
-    result: &mut Plan,
-) -> bool {
-    let Some(spec) = cache.open_job(&waiting.job) else {
-        return true;
-    };
-    if waiting.indices.is_empty() {
-        return true;
-    }
-    let mut best: Vec<(Grade, usize)> = Vec::new();
-    for (m, machine) in machines.iter().enumerate() {
-        if !machine.room.fits(&waiting.set.need)
-            || (warm && !cache.has_image(&machine.id, &waiting.set.image))
-        {
-            continue;
-        }
-        let Some(record) = cache.machine(&machine.id) else {
-            continue;
+}
+
+/// How well a machine serves a set, best first: image there soon, not an ordinary machine for
+/// work that may use spot ones, of the right size, in use already, reporting here, left alone
+/// longest.
+type Grade = (u64, bool, u64, bool, bool, Millis);
+
+impl Round<'_> {
+    /// Places a job's waiting tasks on the machines that suit it best, until there are no more
+    /// or the transaction is full.
+    fn serve(
+        &self,
+        draft: &mut Draft,
+        reserve: &mut Reserve,
+        waiting: &mut Waiting,
+        machines: &mut [Candidate],
+        warm: bool,
+    ) -> Placement {
+        let mut placement = Placement::default();
+        let Some(spec) = self.cache.open_job(&waiting.job) else {
+            return placement;
         };
-        if spec.allows(&record.type_name, &record.zone, record.spot) {
-            best.push((grade(machine, record, waiting), m));
+        if waiting.indices.is_empty() {
+            return placement;
         }
-    }
-    best.sort();
-    for (_, m) in best {
-        let machine = &mut machines[m];
-        let Some(record) = cache.machine(&machine.id) else {
-            continue;
-        };
-        while let Some(&index) = waiting.indices.front() {
+        let mut best: Vec<(Grade, usize)> = Vec::new();
+        for (m, machine) in machines.iter().enumerate() {
             if !machine.room.fits(&waiting.set.need)
-                || !reserve.allows(waiting, record)
-                || zone_room(spec, &waiting.zones, &record.zone) == 0
+                || (warm && !self.cache.has_image(&machine.id, &waiting.set.image))
             {
-                break;
+                continue;
             }
-            let task = TaskId {
-                job: waiting.job.clone(),
-                index,
+            let Some(record) = self.cache.machine(&machine.id) else {
+                continue;
+            };
+            if spec.allows(&record.type_name, &record.zone, record.spot) {
+                best.push((self.grade(machine, record, spec, warm), m));
+            }
+        }
+        best.sort();
+        for (_, m) in best {
+            let machine = &mut machines[m];
+            let Some(record) = self.cache.machine(&machine.id) else {
+                continue;
             };
-            match claims::claim(
-                draft,
-                settings,
-                &machine.id,
-                &machine.room,
-                &task,
-                machine.carrier,
-                wall,
-            ) {
-                Ok(()) => {
-                    machine.room = machine.room.less(&waiting.set.need);
-                    machine.busy = true;
-                    reserve.take(record, waiting.set.need.cpus);
-                    *waiting.zones.zones.entry(record.zone.clone()).or_default() += 1;
-                    waiting.indices.pop_front();
-                    result.claimed.push((task, machine.id.clone()));
+            while let Some(&index) = waiting.indices.front() {
+                if !machine.room.fits(&waiting.set.need)
+                    || !reserve.allows(waiting, record)
+                    || zone_room(spec, &waiting.zones, &record.zone) == 0
+                {
+                    break;
                 }
-                Err(claims::Refusal::TaskTaken) => {
-                    waiting.indices.pop_front();
+                let task = TaskId {
+                    job: waiting.job.clone(),
+                    index,
+                };
+                let (room, carrier) = (machine.room, machine.carrier);
+                match claims::claim(
+                    draft,
+                    self.settings,
+                    &machine.id,
+                    &room,
+                    &task,
+                    carrier,
+                    self.wall,
+                ) {
+                    Ok(()) => {
+                        machine.room = machine.room.less(&waiting.set.need);
+                        machine.busy = true;
+                        reserve.take(record, waiting.set.need.cpus);
+                        *waiting.zones.zones.entry(record.zone.clone()).or_default() += 1;
+                        waiting.indices.pop_front();
+                        placement.claimed.push((task, machine.id.clone()));
+                    }
+                    Err(claims::Refusal::TaskTaken) => {
+                        waiting.indices.pop_front();
+                    }
+                    Err(claims::Refusal::Full) => {
+                        placement.full = true;
+                        return placement;
+                    }
+                    Err(_) => break,
                 }
-                Err(claims::Refusal::Full) => return false,
-                Err(_) => break,
+            }
+            if waiting.indices.is_empty() {
+                break;
             }
         }
-        if waiting.indices.is_empty() {
-            break;
-        }
+        placement
     }
-    true
-}
 
-/// How well a machine serves a set, best first: not an ordinary machine for work that may use
-/// spot ones, in use already, reporting here, left alone longest.
-type Grade = (bool, bool, bool, Millis);
-
-fn grade(machine: &Candidate, record: &MachineRecord, waiting: &Waiting) -> Grade {
-    (
-        waiting.set.spot && !record.spot,
-        !machine.busy,
-        !machine.own,
-        machine.used_at,
-    )
+    fn grade(
+        &self,
+        machine: &Candidate,
+        record: &MachineRecord,
+        spec: &JobSpec,
+        warm: bool,
+    ) -> Grade {
+        // Services gather on the largest ordinary machines, whose caches come to hold all their
+        // images, and other work leaves these for last: what room is kept for the next service
+        // is then where it starts without a fetch.
+        let cpus = self.types.get(&record.type_name).map_or(0, |t| t.room.cpus);
+        let size = match spec.shape {
+            Shape::Service => u64::MAX - cpus,
+            Shape::Array if record.spot => 0,
+            Shape::Array => cpus,
+        };
+        // Work of high rank has to start at once: a machine that fetches its image sooner
+        // comes before others. The rest can wait for it.
+        let fetch_s = match warm || spec.rank < Rank::High {
+            true => 0,
+            false => self.types.get(&record.type_name).map_or(0, |t| {
+                (spec.image_gb / t.fetch_gb_per_s.max(0.001)).min(1e6) as u64
+            }),
+        };
+        (
+            fetch_s,
+            spec.spot && !record.spot,
+            size,
+            !machine.busy,
+            !machine.own,
+            machine.used_at,
+        )
+    }
 }
 
 fn same_class(a: &Urgency, b: &Urgency) -> bool {
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -10,15 +10,17 @@
 use rand::Rng;
 
 impl Node {
+    /// Whether a lookup is wanted and nothing but a turn to write is lacking for it.
+    pub(crate) fn lookup_due(&self) -> bool {
+        (self.lookup_wanted || self.now >= self.lookup_at)
+            && self.cache.epoch >= self.load_high
+            && self.state_ok()
+            && self.settled()
+            && !self.types.is_empty()
+    }
+
     pub(crate) fn look_up(&mut self) {
-        let due = self.lookup_wanted || self.now >= self.lookup_at;
-        if !due
-            || self.cache.epoch < self.load_high
-            || !self.may_write()
-            || !self.state_ok()
-            || !self.settled()
-            || self.types.is_empty()
-        {
+        if !self.lookup_due() || !self.may_write() {
             return;
         }
         let left = self.writes_left();
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -24,7 +24,7 @@
             return;
         }
         let left = self.writes_left();
-        if left < WRITES_LEAST || self.lookup_next && self.waiting_work && self.settled() {
+        if left < WRITES_LEAST || self.lookup_next && self.lookup_due() {
             return;
         }
         self.take_deleted();
