--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -142,8 +142,8 @@
 pub const PREEMPT_AFTER_MS: u64 = 250;
 /// Milliseconds between two rounds of stops.
 pub const PREEMPT_GAP_MS: u64 = 500;
-/// Tasks stopped in one round.
-pub const PREEMPT_TASKS: usize = 8;
+/// Tasks stopped in one round: urgent jobs have up to some 60.
+pub const PREEMPT_TASKS: usize = 32;
 /// Revisions whose times are remembered, to tell how old an attempt is.
 pub const EPOCHS_REMEMBERED: usize = 4_000;
 /// Milliseconds between two moves of a service's tasks: each costs it half a second.
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -128,8 +128,9 @@
         self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
     }
 
-    /// Results in the order in which they are recorded: what has waited long, then those that
-    /// share a chunk with most others, since a chunk costs one change however many they are.
+    /// Results in the order in which they are recorded: those of services, which are down until
+    /// then; what has waited long; then those that share a chunk with most others, since a chunk
+    /// costs one change however many they are.
     fn results_in_turn(&self) -> Vec<(&TaskId, u64, Outcome)> {
         let chunk_of = |task: &TaskId| {
             let chunk = self.cache.job(&task.job).map_or(1, |j| j.chunk.max(1));
@@ -147,7 +148,14 @@
                 let (count, first) = chunks[&chunk];
                 let patient = self.now < first + RESULT_PATIENCE_MS;
                 let rank = if patient { usize::MAX - count } else { 0 };
-                ((patient, rank, first, chunk), task, *attempt, *outcome)
+                let spec = self.cache.open_job(&task.job);
+                let other = spec.is_none_or(|s| s.shape != Shape::Service);
+                (
+                    (other, patient, rank, first, chunk),
+                    task,
+                    *attempt,
+                    *outcome,
+                )
             })
             .collect();
         turn.sort_by(|a, b| a.0.cmp(&b.0));
