Less processor time: candidates carry records and images, waiting jobs are indexed

Change: candidates hold their records, images have numbers, jobs that wait are indexed, machines are judged every 0.4 s, preemption is only looked at for high ranks.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -4,6 +4,9 @@
 /// Milliseconds between two housekeeping passes: fine enough for second-sized waits.
 pub const TICK_MS: u64 = 200;
 
+/// Milliseconds between two looks at all machines for those that are silent, idle or stuck.
+pub const JUDGE_MS: u64 = 400;
+
 /// Milliseconds between two full lookups when nothing else triggers one. The watch
 /// normally triggers them; this backs up a lost message.
 pub const POLL_MS: u64 = 5_000;
@@ -27,6 +30,8 @@
 pub const KEY_BYTES: usize = 60;
 /// Images remembered per machine: caches of 70 GB hold some 50 of 1.4 GB.
 pub const MACHINE_IMAGES: usize = 64;
+/// Different images told apart; of any more it is not remembered where they are.
+pub const IMAGES_KNOWN: usize = 20_000;
 /// Bytes that a transaction may have in all (64 KiB by protocol), less some room.
 pub const TXN_BYTES: usize = 60_000;
 /// Conditions allowed per put of a transaction, by protocol.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -59,11 +59,7 @@
 /// Waiting tasks in the order in which they should be served.
 pub fn waiting(cache: &Cache, settings: &Settings, wall: WallMs) -> Vec<Waiting> {
     let mut found: Vec<Waiting> = Vec::new();
-    for (id, job, spec) in cache.open_jobs() {
-        let counts = cache.counts(id);
-        if counts.booked + counts.done >= job.tasks {
-            continue;
-        }
+    for (id, job, spec) in cache.waiting_jobs() {
         let mut indices = Vec::new();
         let mut looked = 0;
         for n in 0..job.chunks() {
@@ -157,8 +153,11 @@
 
 /// A machine with room, as the lookup sees it.
 #[derive(Clone, Debug)]
-pub struct Candidate {
-    pub id: String,
+pub struct Candidate<'a> {
+    pub id: &'a str,
+    pub record: &'a MachineRecord,
+    /// Images it has had, by their numbers.
+    pub images: &'a [(u32, f64)],
     pub room: Room,
     /// When a task was last placed there, as far as this node knows: the one left alone
     /// longest comes first.
@@ -203,10 +202,8 @@
             .max()
             .unwrap_or(0);
         let mut free: BTreeMap<String, (u64, u64)> = BTreeMap::new();
-        for c in machines {
-            if let Some(m) = cache.machine(&c.id).filter(|m| !m.spot) {
-                free.entry(m.zone.clone()).or_default().0 += c.room.cpus;
-            }
+        for c in machines.iter().filter(|c| !c.record.spot) {
+            free.entry(c.record.zone.clone()).or_default().0 += c.room.cpus;
         }
         for (_, m, _) in cache.machines().filter(|(_, m, _)| m.is_up() && !m.spot) {
             let whole = types.get(&m.type_name).map_or(0, |t| t.room.cpus);
@@ -313,26 +310,24 @@
         if waiting.indices.is_empty() {
             return placement;
         }
+        let image = self.cache.image_id(&waiting.set.image);
+        let has_image = |machine: &Candidate| {
+            image.is_some_and(|image| machine.images.iter().any(|(i, _)| *i == image))
+        };
         let mut best: Vec<(Grade, usize)> = Vec::new();
         for (m, machine) in machines.iter().enumerate() {
-            if !machine.room.fits(&waiting.set.need)
-                || (warm && !self.cache.has_image(&machine.id, &waiting.set.image))
+            let record = machine.record;
+            if machine.room.fits(&waiting.set.need)
+                && (!warm || has_image(machine))
+                && spec.allows(&record.type_name, &record.zone, record.spot)
             {
-                continue;
-            }
-            let Some(record) = self.cache.machine(&machine.id) else {
-                continue;
-            };
-            if spec.allows(&record.type_name, &record.zone, record.spot) {
                 best.push((self.grade(machine, record, spec, warm), m));
             }
         }
         best.sort();
         for (_, m) in best {
             let machine = &mut machines[m];
-            let Some(record) = self.cache.machine(&machine.id) else {
-                continue;
-            };
+            let record = machine.record;
             while let Some(&index) = waiting.indices.front() {
                 if !machine.room.fits(&waiting.set.need)
                     || !reserve.allows(waiting, record)
@@ -348,7 +343,7 @@
                 match claims::claim(
                     draft,
                     self.settings,
-                    &machine.id,
+                    machine.id,
                     &room,
                     &task,
                     carrier,
@@ -360,7 +355,7 @@
                         reserve.take(record, waiting.set.need.cpus);
                         *waiting.zones.zones.entry(record.zone.clone()).or_default() += 1;
                         waiting.indices.pop_front();
-                        placement.claimed.push((task, machine.id.clone()));
+                        placement.claimed.push((task, machine.id.to_string()));
                     }
                     Err(claims::Refusal::TaskTaken) => {
                         waiting.indices.pop_front();
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -301,7 +301,8 @@
             .get(id)
             .is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
         let session = self.latest_session(id);
-        match (self.machine_token(id), session) {
+        let token = self.cache.term().map(|term| term + m.raised);
+        match (token, session) {
             (Some(token), Some(session)) if !failed && !m.address.is_empty() => {
                 Carrier::Command { session, token }
             }
@@ -571,12 +572,12 @@
     /// worker only turns to another node when this one fails it, so there is no need to
     /// wait for that. Were most of them silent, this node would be what is cut off.
     fn overdue_here(&self, quick: Millis) -> Vec<String> {
-        let here: Vec<(&String, Millis)> = self
-            .heard
-            .iter()
-            .filter(|(id, h)| {
-                self.cache.machine(id).is_some_and(|m| m.is_up()) && !self.newer_elsewhere(id, h)
-            })
+        let here: Vec<(&str, Millis)> = self
+            .cache
+            .machines()
+            .filter(|(_, m, _)| m.is_up())
+            .filter_map(|(id, _, _)| Some((id, self.heard.get(id)?)))
+            .filter(|(id, h)| !self.newer_elsewhere(id, h))
             .map(|(id, h)| (id, self.now - h.at))
             .collect();
         let late: Vec<String> = here
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -316,6 +316,7 @@
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) condemned: BTreeMap<String, &'static str>,
     pub(crate) flushed_at: Millis,
+    pub(crate) judged_at: Millis,
     pub(crate) writes: Allowance,
     /// The next changes are a lookup's: flushes and lookups take turns when changes are short.
     pub(crate) lookup_next: bool,
@@ -417,6 +418,7 @@
             seen: BTreeMap::new(),
             condemned: BTreeMap::new(),
             flushed_at: 0,
+            judged_at: 0,
             writes,
             lookup_next: false,
             flush_ops,
@@ -635,8 +637,14 @@
             self.forgot_at = self.now;
             self.forget_old();
         }
-        self.judge_machines();
-        self.finish_jobs();
+        if self.now >= self.judged_at + JUDGE_MS {
+            self.judged_at = self.now;
+            self.judge_machines();
+            self.finish_jobs();
+            if self.on_duty() {
+                self.sweep();
+            }
+        }
         self.retry_hires();
         self.tidy_hires();
         if self.on_duty() {
@@ -646,7 +654,6 @@
                 self.list_busy = true;
                 self.cloud(CloudOp::List { after: None }, Purpose::Hosts);
             }
-            self.sweep();
             self.move_services();
         }
     }
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -38,21 +38,22 @@
         }
         let mut machines: Vec<Candidate> = Vec::new();
         for (id, m, _) in self.cache.machines() {
-            if m.phase != MachinePhase::Up
-                || self.condemned.contains_key(id)
-                || !self.recently_heard(id)
-            {
-                continue;
-            }
             let Some(kind) = self.types.get(&m.type_name) else {
                 continue;
             };
             let room = kind.room.less(&self.cache.used(id));
-            if room.cpus == 0 || room.ram == 0 {
+            if room.cpus == 0
+                || room.ram == 0
+                || m.phase != MachinePhase::Up
+                || self.condemned.contains_key(id)
+                || !self.recently_heard(id)
+            {
                 continue;
             }
             machines.push(Candidate {
-                id: id.to_string(),
+                id,
+                record: m,
+                images: self.cache.images_of(id),
                 room,
                 used_at: self.used_at.get(id).copied().unwrap_or(0),
                 own: self.reports_here(id),
@@ -88,11 +89,14 @@
         }
         let ripe: Vec<lookup::Waiting> = work
             .iter()
-            .filter(|w| self.wall >= w.at + PREEMPT_AFTER_MS)
+            .filter(|w| w.urgency.rank.0 >= Rank::High && self.wall >= w.at + PREEMPT_AFTER_MS)
             .cloned()
             .collect();
         if ripe.is_empty() {
             // What is too fresh is looked at again soon.
+            if work.iter().all(|w| w.urgency.rank.0 < Rank::High) {
+                return;
+            }
             self.lookup_at = self.lookup_at.min(self.now + PREEMPT_AFTER_MS);
             return;
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -437,12 +437,16 @@
     pub epoch: u64,
     // Gathered
     open: BTreeSet<String>,
+    /// Open jobs with tasks that are neither done nor booked.
+    waiting: BTreeSet<String>,
     counts: BTreeMap<String, Counts>,
     held: HashMap<String, Holding>,
     usage: BTreeMap<String, TeamRecord>,
     /// Images each machine has had, latest last, with their size in GB. Only a hint: it is
     /// not kept in the records, where it would cost a put for each.
-    images: HashMap<String, Vec<(String, f64)>>,
+    images: HashMap<String, Vec<(u32, f64)>>,
+    /// Numbers that stand for images in that list.
+    image_ids: HashMap<String, u32>,
     /// Room for images per type, in GB.
     pub cache_gb: HashMap<String, f64>,
 }
@@ -488,6 +492,25 @@
         })
     }
 
+    /// Open jobs with tasks that wait, in order of their names.
+    pub fn waiting_jobs(&self) -> impl Iterator<Item = (&str, &JobRecord, &JobSpec)> {
+        self.waiting.iter().filter_map(|id| {
+            let job = self.job(id)?;
+            Some((id.as_str(), job, job.open()?))
+        })
+    }
+    fn note_waiting(&mut self, id: &str) {
+        let counts = self.counts(id);
+        let job = self.job(id).filter(|j| j.open().is_some());
+        if job.is_some_and(|j| counts.booked + counts.done < j.tasks) {
+            if !self.waiting.contains(id) {
+                self.waiting.insert(id.to_string());
+            }
+        } else {
+            self.waiting.remove(id);
+        }
+    }
+
     accessors!(job, jobs, JobRecord, str);
     accessors!(machine, machines, MachineRecord, str);
     accessors!(place, places, PlaceRecord, str);
@@ -584,8 +607,15 @@
         self.usage.get(team).cloned().unwrap_or_default()
     }
     pub fn has_image(&self, machine: &str, image: &str) -> bool {
-        let images = self.images.get(machine);
-        images.is_some_and(|list| list.iter().any(|(i, _)| i == image))
+        self.image_id(image)
+            .is_some_and(|id| self.images_of(machine).iter().any(|(i, _)| *i == id))
+    }
+    pub fn image_id(&self, image: &str) -> Option<u32> {
+        self.image_ids.get(image).copied()
+    }
+    /// Images that a machine has had, by their numbers, with their size in GB.
+    pub fn images_of(&self, machine: &str) -> &[(u32, f64)] {
+        self.images.get(machine).map_or(&[], |list| list)
     }
 
     fn note_image(&mut self, machine: &str, job: &str) {
@@ -598,9 +628,18 @@
             .and_then(|(m, _)| self.cache_gb.get(&m.type_name))
             .copied()
             .unwrap_or(f64::INFINITY);
+        let next = self.image_ids.len() as u32;
+        let id = match self.image_ids.get(&spec.image) {
+            Some(id) => *id,
+            None if self.image_ids.len() < IMAGES_KNOWN => {
+                self.image_ids.insert(spec.image.clone(), next);
+                next
+            }
+            None => return,
+        };
         let images = self.images.entry(machine.to_string()).or_default();
-        images.retain(|(i, _)| *i != spec.image);
-        images.push((spec.image.clone(), spec.image_gb));
+        images.retain(|(i, _)| *i != id);
+        images.push((id, spec.image_gb));
         while images.len() > 1
             && (images.len() > MACHINE_IMAGES
                 || images.iter().map(|(_, gb)| gb).sum::<f64>() > room)
@@ -691,6 +730,7 @@
             (Key::Job(id), Record::Job(r)) => {
                 let open = r.open().is_some();
                 if keep(&mut self.jobs, id.clone(), r, stamp) {
+                    self.note_waiting(&id);
                     match open {
                         true => self.open.insert(id),
                         false => self.open.remove(&id),
@@ -704,6 +744,7 @@
                 }
                 let old = chunks.insert(n, (r.clone(), stamp)).map(|(c, _)| c);
                 self.gather(&id, old, Some(r));
+                self.note_waiting(&id);
             }
             (Key::Place(id), Record::Place(r)) => {
                 keep(&mut self.places, id, r, stamp);
@@ -729,6 +770,7 @@
                 drop_older(&mut self.jobs, id, stamp);
                 if !self.jobs.contains_key(id) {
                     self.open.remove(id);
+                    self.waiting.remove(id);
                 }
             }
             Key::Chunk(id, n) => {
@@ -741,6 +783,7 @@
                         self.chunks.remove(id);
                     }
                     self.gather(id, old, None);
+                    self.note_waiting(id);
                 }
             }
             Key::Place(id) => drop_older(&mut self.places, id, stamp),
