--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -28,6 +28,8 @@
 pub const SMALL_RECORD_BYTES: usize = 900;
 /// Bytes of a key in a transaction.
 pub const KEY_BYTES: usize = 60;
+/// Milliseconds that a fetch is taken to last at most.
+pub const FETCH_MAX_MS: u64 = 120_000;
 /// Images remembered per machine: caches of 70 GB hold some 50 of 1.4 GB.
 pub const MACHINE_IMAGES: usize = 64;
 /// Different images told apart; of any more it is not remembered where they are.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -166,6 +166,8 @@
     /// machine's room away twice.
     pub own: bool,
     pub busy: bool,
+    /// Milliseconds of fetches still under way there: images share a machine's rate.
+    pub fetch_ms: Millis,
     /// How a start would get there from this node.
     pub carrier: claims::Carrier,
 }
@@ -174,6 +176,8 @@
 pub struct Plan {
     pub txn: Txn,
     pub claimed: Vec<(TaskId, String)>,
+    /// Machines that will fetch images for it, and how long they will be fetching then.
+    pub fetches: Vec<(String, Millis)>,
     /// Whether the plan ended for lack of space in the transaction rather than of work.
     pub full: bool,
 }
@@ -262,6 +266,7 @@
             for waiting in class.iter_mut() {
                 let placed = round.serve(&mut draft, &mut reserve, waiting, machines, warm);
                 result.claimed.extend(placed.claimed);
+                result.fetches.extend(placed.fetches);
                 if placed.full {
                     result.full = true;
                     break 'all;
@@ -276,6 +281,7 @@
 #[derive(Default)]
 struct Placement {
     claimed: Vec<(TaskId, String)>,
+    fetches: Vec<(String, Millis)>,
     full: bool,
 }
 
@@ -290,7 +296,7 @@
 /// How well a machine serves a set, best first: image there soon, not an ordinary machine for
 /// work that may use spot ones, of the right size, in use already, reporting here, left alone
 /// longest.
-type Grade = (u64, bool, u64, bool, bool, Millis);
+type Grade = (Millis, bool, u64, bool, bool, Millis);
 
 impl Round<'_> {
     /// Places a job's waiting tasks on the machines that suit it best, until there are no more
@@ -328,6 +334,7 @@
         for (_, m) in best {
             let machine = &mut machines[m];
             let record = machine.record;
+            let before = placement.claimed.len();
             while let Some(&index) = waiting.indices.front() {
                 if !machine.room.fits(&waiting.set.need)
                     || !reserve.allows(waiting, record)
@@ -367,6 +374,12 @@
                     Err(_) => break,
                 }
             }
+            if !has_image(machine) && placement.claimed.len() > before {
+                machine.fetch_ms += self.fetch_ms(record, spec);
+                placement
+                    .fetches
+                    .push((machine.id.to_string(), machine.fetch_ms));
+            }
             if waiting.indices.is_empty() {
                 break;
             }
@@ -374,6 +387,12 @@
         placement
     }
 
+    fn fetch_ms(&self, record: &MachineRecord, spec: &JobSpec) -> Millis {
+        let kind = self.types.get(&record.type_name);
+        let rate = kind.map_or(1.0, |t| t.fetch_gb_per_s.max(0.001));
+        (spec.image_gb / rate * 1000.0).min(FETCH_MAX_MS as f64) as Millis
+    }
+
     fn grade(
         &self,
         machine: &Candidate,
@@ -394,9 +413,7 @@
         // comes before others. The rest can wait for it.
         let fetch_s = match warm || spec.rank < Rank::High {
             true => 0,
-            false => self.types.get(&record.type_name).map_or(0, |t| {
-                (spec.image_gb / t.fetch_gb_per_s.max(0.001)).min(1e6) as u64
-            }),
+            false => (machine.fetch_ms + self.fetch_ms(record, spec)) / 1000,
         };
         (
             fetch_s,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -325,6 +325,8 @@
     pub(crate) flush_ops: usize,
     /// When a task was last placed on a machine, as far as seen here.
     pub(crate) used_at: HashMap<String, Millis>,
+    /// Until when machines fetch images for tasks that this node placed there, about.
+    pub(crate) fetching: HashMap<String, Millis>,
     pub(crate) hire_since: HashMap<u64, Millis>,
     pub(crate) tidying: BTreeSet<u64>,
     /// Rental requests whose answer is awaited.
@@ -423,6 +425,7 @@
             lookup_next: false,
             flush_ops,
             used_at: HashMap::new(),
+            fetching: HashMap::new(),
             hire_since: HashMap::new(),
             tidying: BTreeSet::new(),
             hires_asked: BTreeSet::new(),
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -58,6 +58,10 @@
                 used_at: self.used_at.get(id).copied().unwrap_or(0),
                 own: self.reports_here(id),
                 busy: self.cache.booked_tasks(id) > 0,
+                fetch_ms: self
+                    .fetching
+                    .get(id)
+                    .map_or(0, |until| until.saturating_sub(self.now)),
                 carrier: self.carrier(id, m),
             });
         }
@@ -71,6 +75,9 @@
             self.wall,
         );
         let full = plan.full;
+        for (id, ms) in plan.fetches {
+            self.fetching.insert(id, self.now + ms);
+        }
         if !plan.claimed.is_empty() {
             self.writing = true;
             self.commit(plan.txn, Purpose::Lookup(plan.claimed), Priority::Claim);
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -68,6 +68,7 @@
         self.command_failed
             .retain(|id, _| cache.machine(id).is_some());
         self.unreached.retain(|id, _| cache.machine(id).is_some());
+        self.fetching.retain(|_, until| *until > self.now);
         self.answered.retain(|id, _| cache.machine(id).is_some());
         self.asked_at.retain(|id, _| cache.machine(id).is_some());
         self.missing_since.retain(|(task, attempt), _| {
