Nodes that start hear from siblings where images are

Cause: after restarts no node knew where images are, so dear machines were not emptied (it wants the services' images elsewhere) and services started cold. Siblings tell a node that has just started, once. Story: a_node_that_starts_hears_from_siblings_where_images_are.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -76,6 +76,9 @@
 
 /// Milliseconds between two messages to each sibling.
 pub const PEER_BEAT_MS: u64 = 500;
+/// Milliseconds after its start for which a node says that it has just started: its records
+/// are read by then, and a few beats sent.
+pub const YOUNG_MS: u64 = 4_000;
 /// Milliseconds after which a sibling's last message says nothing about it any more.
 pub const PEER_FRESH_MS: u64 = 2_500;
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -97,6 +97,9 @@
     pub state_ok: bool,
     /// Machines it heard of: name, session, tally, milliseconds ago.
     pub heard: Vec<(String, u64, u64, u64)>,
+    /// It has just started: siblings tell it, once, what they remember of images.
+    pub young: bool,
+    pub images: Vec<(String, Vec<(String, f64)>)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -327,6 +330,8 @@
     pub(crate) used_at: HashMap<String, Millis>,
     /// Until when machines fetch images for tasks that this node placed there, about.
     pub(crate) fetching: HashMap<String, Millis>,
+    /// The next beat says what is remembered of images.
+    pub(crate) share_images: bool,
     pub(crate) hire_since: HashMap<u64, Millis>,
     pub(crate) tidying: BTreeSet<u64>,
     /// Rental requests whose answer is awaited.
@@ -426,6 +431,7 @@
             flush_ops,
             used_at: HashMap::new(),
             fetching: HashMap::new(),
+            share_images: false,
             hire_since: HashMap::new(),
             tidying: BTreeSet::new(),
             hires_asked: BTreeSet::new(),
@@ -481,6 +487,10 @@
             Event::Beat(beat) => {
                 if beat.node != self.settings.node {
                     self.told_of(&beat);
+                    self.cache.take_hints(&beat.images);
+                    let known = self.siblings.get(&beat.node);
+                    let appeared = known.is_none_or(|s| !s.beat.young);
+                    self.share_images |= beat.young && appeared;
                     self.siblings
                         .insert(beat.node.clone(), Sibling { at: self.now, beat });
                 }
@@ -597,10 +607,16 @@
                 .filter(|(_, h)| self.now - h.at < self.settings.lease_ms * 2)
                 .map(|(id, h)| (id.clone(), h.session, h.tally, self.now - h.at))
                 .collect();
+            let images = match std::mem::take(&mut self.share_images) {
+                true => self.cache.image_hints(),
+                false => Vec::new(),
+            };
             self.emit(Effect::Beat(Beat {
                 node: self.settings.node.clone(),
                 state_ok: self.state_ok(),
                 heard,
+                young: self.now - self.started < YOUNG_MS,
+                images,
             }));
         }
         if !self.loaded && !self.load_busy {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -618,8 +618,49 @@
         self.images.get(machine).map_or(&[], |list| list)
     }
 
+    /// All that is remembered of images: machine, then images with their size, latest last.
+    pub fn image_hints(&self) -> Vec<(String, Vec<(String, f64)>)> {
+        let names: HashMap<u32, &String> = self.image_ids.iter().map(|(n, id)| (*id, n)).collect();
+        let named = |(id, gb): &(u32, f64)| Some(((*names.get(id)?).clone(), *gb));
+        self.images
+            .iter()
+            .map(|(machine, list)| (machine.clone(), list.iter().filter_map(named).collect()))
+            .collect()
+    }
+    /// Takes up what a sibling remembers of images; what is known here is later.
+    pub fn take_hints(&mut self, hints: &[(String, Vec<(String, f64)>)]) {
+        for (machine, list) in hints {
+            if !self.machines.contains_key(machine) {
+                continue;
+            }
+            let own = self.images.remove(machine).unwrap_or_default();
+            let mut merged: Vec<(u32, f64)> = Vec::new();
+            for (image, gb) in list.iter().take(MACHINE_IMAGES) {
+                if let Some(id) = self.image_number(image) {
+                    merged.push((id, *gb));
+                }
+            }
+            merged.retain(|(id, _)| !own.iter().any(|(i, _)| i == id));
+            merged.extend(own);
+            let over = merged.len().saturating_sub(MACHINE_IMAGES);
+            self.images.insert(machine.clone(), merged.split_off(over));
+        }
+    }
+    fn image_number(&mut self, image: &str) -> Option<u32> {
+        let next = self.image_ids.len();
+        match self.image_ids.get(image) {
+            Some(id) => Some(*id),
+            None if next < IMAGES_KNOWN => {
+                self.image_ids.insert(image.to_string(), next as u32);
+                Some(next as u32)
+            }
+            None => None,
+        }
+    }
+
     fn note_image(&mut self, machine: &str, job: &str) {
-        let Some(spec) = self.jobs.get(job).and_then(|(j, _)| j.spec.as_ref()) else {
+        let spec = self.jobs.get(job).and_then(|(j, _)| j.spec.as_ref());
+        let Some((image, gb)) = spec.map(|s| (s.image.clone(), s.image_gb)) else {
             return;
         };
         let room = self
@@ -628,18 +669,12 @@
             .and_then(|(m, _)| self.cache_gb.get(&m.type_name))
             .copied()
             .unwrap_or(f64::INFINITY);
-        let next = self.image_ids.len() as u32;
-        let id = match self.image_ids.get(&spec.image) {
-            Some(id) => *id,
-            None if self.image_ids.len() < IMAGES_KNOWN => {
-                self.image_ids.insert(spec.image.clone(), next);
-                next
-            }
-            None => return,
+        let Some(id) = self.image_number(&image) else {
+            return;
         };
         let images = self.images.entry(machine.to_string()).or_default();
         images.retain(|(i, _)| *i != id);
-        images.push((id, spec.image_gb));
+        images.push((id, gb));
         while images.len() > 1
             && (images.len() > MACHINE_IMAGES
                 || images.iter().map(|(_, gb)| gb).sum::<f64>() > room)
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -350,6 +350,18 @@
     w.until(20_000, "done", |w| done(w, "j-1"));
 }
 
+#[test]
+fn a_node_that_starts_hears_from_siblings_where_images_are() {
+    let mut w = settled(31, 2, 2);
+    w.submit(1, job("j-1", 2));
+    w.until(20_000, "done", |w| done(w, "j-1"));
+    w.crash(0, 1_000);
+    w.run(6_000);
+    let node = w.nodes[0].node.as_ref().expect("it is back");
+    let machines = w.workers.keys();
+    assert!(machines.into_iter().any(|m| node.cache.has_image(m, "img")));
+}
+
 #[test]
 fn hundreds_of_machines_cost_few_changes_and_quiet_ones_none() {
     // The state service takes 50 changes a second from all nodes together.
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -9,8 +9,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Duration};
 
-/// Bytes of a frame at most: about 1,000 machines.
-const FRAME_BYTES: u32 = 256 * 1024;
+/// Bytes of a frame at most: about 1,000 machines with 64 images each.
+const FRAME_BYTES: u32 = 2 * 1024 * 1024;
 /// A sibling that sends nothing for so long has to connect again.
 const QUIET: Duration = Duration::from_millis(PEER_BEAT_MS * 20);
 /// Time to connect or to send before the connection is given up.
