Spending and latencies are counted and logged every 30 s

Requests, changes, conflicts, check-ins, lookups, and histograms (hdrhistogram) of submission to acceptance, acceptance to claim, claim to running. Needed for the budget in docs/design.md.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -111,6 +111,12 @@
 /// Milliseconds that the answer to a direct command is waited for.
 pub const COMMAND_LIMIT_MS: u64 = 1_200;
 
+/// Milliseconds between two log lines that say what was spent.
+pub const STATS_MS: u64 = 30_000;
+/// Longest time told apart there, in milliseconds.
+pub const STATS_MAX_MS: u64 = 600_000;
+/// Starts followed there until they run.
+pub const STATS_STARTS: usize = 4_000;
 /// Milliseconds between two readings of the cloud's catalogue.
 pub const CATALOG_MS: u64 = 45_000;
 /// Milliseconds between two tries for the first catalogue.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Ask {
     pub job: String,
     pub want: Want,
+    pub since: Millis,
     pub until: Millis,
 }
 
@@ -25,6 +26,7 @@
         let ask = Ask {
             job: spec.id.clone(),
             want: Want::Submit(Box::new(spec)),
+            since: self.now,
             until: self.now + SUBMIT_PATIENCE_MS,
         };
         self.ask(request, ask);
@@ -34,6 +36,7 @@
         let ask = Ask {
             job,
             want: Want::Status,
+            since: self.now,
             until: self.now + STATUS_PATIENCE_MS,
         };
         self.ask(request, ask);
@@ -43,6 +46,7 @@
         let ask = Ask {
             job,
             want: Want::Cancel,
+            since: self.now,
             until: self.now + SUBMIT_PATIENCE_MS,
         };
         self.ask(request, ask);
@@ -164,6 +168,7 @@
                 );
                 // The watch may have brought the record first, as if a sibling had made it.
                 self.lookup_wanted = true;
+                self.stats.accepted(self.now - ask.since);
                 self.answer(request, UserReply::Accepted { job: ask.job });
             }
             _ => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,4 +16,5 @@
 mod rentals;
 mod results;
 mod state;
+mod stats;
 mod sweeping;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -48,6 +48,7 @@
 
 impl Node {
     pub(crate) fn check_in(&mut self, request: RequestId, report: Report) {
+        self.stats.check_ins += 1;
         let id = report.machine.clone();
         let mark = (report.session, report.tally);
         let heard = self.heard.entry(id.clone()).or_insert(Heard {
@@ -183,6 +184,9 @@
                 None if newer_session || barred && !wanted => Some(Outcome::Gone),
                 _ => None,
             };
+            if phase == Some(TaskPhase::Running) {
+                self.stats.runs(task, b.attempt, self.now);
+            }
             let key = (task.clone(), b.attempt);
             if b.direct.is_some() {
                 if phase.is_some() {
@@ -214,6 +218,7 @@
             }
         }
         for (key, outcome) in ended {
+            self.stats.results += u64::from(!self.results.contains_key(&key));
             self.results.entry(key).or_insert((outcome, self.now));
         }
         self.saves.extend(saves);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -7,6 +7,7 @@
 use crate::machines::{Held, Seen};
 use crate::model::*;
 use crate::records::*;
+use crate::stats::Stats;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -318,6 +319,7 @@
     pub(crate) saves: BTreeSet<(TaskId, u64)>,
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) condemned: BTreeMap<String, &'static str>,
+    pub(crate) stats: Stats,
     pub(crate) flushed_at: Millis,
     pub(crate) judged_at: Millis,
     pub(crate) writes: Allowance,
@@ -424,6 +426,7 @@
             saves: BTreeSet::new(),
             seen: BTreeMap::new(),
             condemned: BTreeMap::new(),
+            stats: Stats::new(now),
             flushed_at: 0,
             judged_at: 0,
             writes,
@@ -518,6 +521,8 @@
 
     pub(crate) fn commit(&mut self, txn: Txn, purpose: Purpose, priority: Priority) {
         self.writes.take(txn.changes.len());
+        self.stats.transactions += 1;
+        self.stats.changes += txn.changes.len() as u64;
         let token = self.token(purpose, Some(txn.clone()));
         self.emit(Effect::State {
             token,
@@ -527,6 +532,7 @@
     }
 
     pub(crate) fn cloud(&mut self, op: CloudOp, purpose: Purpose) {
+        self.stats.cloud += 1;
         let token = self.token(purpose, None);
         self.emit(Effect::Cloud { token, op });
     }
@@ -654,6 +660,10 @@
         }
         if self.now >= self.forgot_at + FORGET_MS {
             self.forgot_at = self.now;
+            if self.now >= self.started + STATS_MS {
+                let (records, held) = (self.cache.len(), self.held.len());
+                self.stats.report(self.now, records, held);
+            }
             self.forget_old();
         }
         if self.now >= self.judged_at + JUDGE_MS {
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -28,6 +28,7 @@
             return;
         }
         self.lookup_next = false;
+        self.stats.lookups += 1;
         self.lookup_wanted = false;
         let jitter = self.rng.gen_range(0..POLL_MS / 4);
         self.lookup_at = self.now + POLL_MS + jitter;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -197,6 +197,9 @@
                 "transaction was malformed"
             );
         }
+        if let (StateAnswer::Conflict { .. }, true) = (&answer, txn.is_some()) {
+            self.stats.conflicts += 1;
+        }
         if txn.is_some() && !committed {
             tracing::debug!(?purpose, ?answer, "transaction lost");
         }
@@ -234,6 +237,12 @@
                 if committed {
                     for (task, machine) in &claimed {
                         tracing::info!(%task, machine, "claimed");
+                        let at = self.cache.job(&task.job).map_or(self.wall, |j| j.at);
+                        let booking = self.cache.booking(machine, task);
+                        if let Some(attempt) = booking.map(|p| p.booking.attempt) {
+                            let waited = self.wall.saturating_sub(at);
+                            self.stats.claimed(task, attempt, waited, self.now);
+                        }
                     }
                     self.command_starts(&claimed);
                     self.lookup_wanted = true;
--- /dev/null
+++ b/crates/core/src/stats.rs
@@ -0,0 +1,115 @@
+//! What this node spends and how long things take, logged every so often.
+
+use crate::constants::*;
+use crate::model::*;
+use hdrhistogram::Histogram;
+use std::collections::HashMap;
+
+/// Milliseconds, told apart to a hundredth.
+type Times = Option<Histogram<u32>>;
+
+fn times() -> Times {
+    Histogram::new_with_bounds(1, STATS_MAX_MS, 2).ok()
+}
+
+fn note(times: &mut Times, ms: Millis) {
+    if let Some(times) = times {
+        times.saturating_record(ms.max(1));
+    }
+}
+
+fn told(times: &Times) -> String {
+    times.as_ref().map_or(String::new(), |t| {
+        format!(
+            "{}/{}/{}/{}",
+            t.len(),
+            t.value_at_quantile(0.5),
+            t.value_at_quantile(0.99),
+            t.max()
+        )
+    })
+}
+
+pub(crate) struct Stats {
+    since: Millis,
+    pub check_ins: u64,
+    pub lookups: u64,
+    pub transactions: u64,
+    /// Changes sent to the state service, whether they took effect or not.
+    pub changes: u64,
+    pub conflicts: u64,
+    pub results: u64,
+    pub cloud: u64,
+    /// From a submission to its acceptance, both here.
+    accepted: Times,
+    /// From a job's acceptance, by the nodes' times of day, to the claim of a task.
+    claimed: Times,
+    /// From a claim made here to the first report, here, that the task runs.
+    running: Times,
+    starting: HashMap<(TaskId, u64), Millis>,
+}
+
+impl Stats {
+    pub fn new(now: Millis) -> Stats {
+        Stats {
+            since: now,
+            check_ins: 0,
+            lookups: 0,
+            transactions: 0,
+            changes: 0,
+            conflicts: 0,
+            results: 0,
+            cloud: 0,
+            accepted: times(),
+            claimed: times(),
+            running: times(),
+            starting: HashMap::new(),
+        }
+    }
+    pub fn accepted(&mut self, ms: Millis) {
+        note(&mut self.accepted, ms);
+    }
+    pub fn claimed(&mut self, task: &TaskId, attempt: u64, ms: Millis, now: Millis) {
+        note(&mut self.claimed, ms);
+        if self.starting.len() < STATS_STARTS {
+            self.starting.insert((task.clone(), attempt), now);
+        }
+    }
+    pub fn runs(&mut self, task: &TaskId, attempt: u64, now: Millis) {
+        if self.starting.is_empty() {
+            return;
+        }
+        if let Some(at) = self.starting.remove(&(task.clone(), attempt)) {
+            note(&mut self.running, now - at);
+        }
+    }
+    /// Logs what has come together and begins anew, when it is time.
+    pub fn report(&mut self, now: Millis, records: usize, held: usize) {
+        if now < self.since + STATS_MS {
+            return;
+        }
+        tracing::info!(
+            seconds = (now - self.since) / 1000,
+            check_ins = self.check_ins,
+            lookups = self.lookups,
+            transactions = self.transactions,
+            changes = self.changes,
+            conflicts = self.conflicts,
+            results = self.results,
+            cloud = self.cloud,
+            records,
+            held,
+            // each: how many / median / 99 in 100 / longest
+            accepted_ms = told(&self.accepted),
+            claimed_ms = told(&self.claimed),
+            running_ms = told(&self.running),
+            "spent"
+        );
+        let mut starting = std::mem::take(&mut self.starting);
+        starting.retain(|_, at| now < *at + STATS_MS);
+        *self = Stats {
+            starting,
+            ..Stats::new(now)
+        };
+    }
+}
