--- a/crates/glenmount/src/http.rs
+++ b/crates/glenmount/src/http.rs
@@ -15,14 +15,17 @@
     /// `once`: nothing is ever sent a second time, not even what a closed connection may
     /// have swallowed.
     pub fn new(addr: SocketAddr, connect_timeout: Duration, once: bool) -> Http {
+        // Commands go to hundreds of workers, to each now and then: kept open, the connections
+        // to them would use up the sockets that check-ins and users need.
+        let (idle, idle_s) = if once { (1, 2) } else { (8, 30) };
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
         Http {
             client: Client::builder()
                 .retry_canceled_requests(!once)
-                .pool_max_idle_per_host(8)
-                .pool_idle_timeout(Duration::from_secs(30))
+                .pool_max_idle_per_host(idle)
+                .pool_idle_timeout(Duration::from_secs(idle_s))
                 .http1_max_buf_size(1 << 20)
                 .build(connector),
             base: format!("http://{addr}"),
