One piece of code finds a task's chunk and the booking of an attempt

Behaviour stays as it is. The number of a task's chunk was worked out in seven places and the booking of an attempt in three; open and waiting jobs were walked by two copies of a loop; results copied their jobs' names to be sorted; the look for services being moved went over all machines five times a second before the cheap reasons not to; machine_stamp was dead.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -99,7 +99,7 @@
     let cache = draft.cache;
     let job = cache.job(&task.job).ok_or(Refusal::JobOver)?;
     let spec = job.open().ok_or(Refusal::JobOver)?;
-    let n = task.index / job.chunk.max(1);
+    let n = job.chunk_of(task.index);
     if let Some(chunk) = draft.chunk(&task.job, n) {
         let slot = (task.index % job.chunk.max(1)) as usize;
         if chunk.tasks.get(slot) != Some(&TaskState::Waiting) {
@@ -192,7 +192,7 @@
     let Some(job) = cache.job(&task.job) else {
         return;
     };
-    let n = task.index / job.chunk.max(1);
+    let n = job.chunk_of(task.index);
     let booking = draft
         .chunk(&task.job, n)
         .and_then(|c| c.booking(task.index));
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -21,7 +21,7 @@
 }
 
 impl Held {
-    fn mark(&self) -> (u64, u64) {
+    pub fn mark(&self) -> (u64, u64) {
         mark(&self.report)
     }
     /// Whether its answer can still carry a start.
@@ -412,7 +412,7 @@
         let Some(job) = self.cache.job(&task.job) else {
             return false;
         };
-        let n = task.index / job.chunk.max(1);
+        let n = job.chunk_of(task.index);
         self.cache.chunk_stamp(&task.job, n) > attempt
             || job.open().is_none() && self.cache.epoch >= self.cache.job_stamp(&task.job)
     }
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -95,16 +95,17 @@
         if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
             return;
         }
-        let ripe: Vec<lookup::Waiting> = work
-            .iter()
-            .filter(|w| w.urgency.rank.0 >= Rank::High && self.wall >= w.at + PREEMPT_AFTER_MS)
+        let mut urgent = work.iter().filter(|w| w.urgency.rank.0 >= Rank::High);
+        let ripe: Vec<lookup::Waiting> = urgent
+            .clone()
+            .filter(|w| self.wall >= w.at + PREEMPT_AFTER_MS)
             .cloned()
             .collect();
+        if ripe.is_empty() && urgent.next().is_none() {
+            return;
+        }
         if ripe.is_empty() {
             // What is too fresh is looked at again soon.
-            if work.iter().all(|w| w.urgency.rank.0 < Rank::High) {
-                return;
-            }
             self.lookup_at = self.lookup_at.min(self.now + PREEMPT_AFTER_MS);
             return;
         }
@@ -190,19 +191,17 @@
     /// Empties dear machines whose services fit elsewhere, one task at a time, and takes the
     /// services off machines that are being drained.
     pub(crate) fn move_services(&mut self) {
-        let moving = self.cache.machines().any(|(id, _, _)| {
-            self.cache
-                .bookings(id)
-                .any(|(_, p)| p.booking.stop.is_some())
-        });
         if self.waiting_work || self.cache.hires().next().is_some() {
             self.quiet_since = self.now;
         }
-        if moving
-            || self.waiting_work
-            || !self.may_write()
-            || self.now < self.moved_at + MOVE_GAP_MS
-        {
+        if self.waiting_work || !self.may_write() || self.now < self.moved_at + MOVE_GAP_MS {
+            return;
+        }
+        let moving = self.cache.machines().any(|(id, _, _)| {
+            let mut bookings = self.cache.bookings(id);
+            bookings.any(|(_, p)| p.booking.stop.is_some())
+        });
+        if moving {
             return;
         }
         self.moved_at = self.now;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -115,6 +115,10 @@
     pub fn chunks(&self) -> u32 {
         self.tasks.div_ceil(self.chunk.max(1))
     }
+    /// The number of the chunk that holds a task.
+    pub fn chunk_of(&self, index: u32) -> u32 {
+        index / self.chunk.max(1)
+    }
     pub fn over(&self, phase: Phase, wall: WallMs) -> JobRecord {
         JobRecord {
             phase,
@@ -486,7 +490,13 @@
     }
     /// Open jobs, in order of their names.
     pub fn open_jobs(&self) -> impl Iterator<Item = (&str, &JobRecord, &JobSpec)> {
-        self.open.iter().filter_map(|id| {
+        self.with_specs(&self.open)
+    }
+    fn with_specs<'a>(
+        &'a self,
+        ids: &'a BTreeSet<String>,
+    ) -> impl Iterator<Item = (&'a str, &'a JobRecord, &'a JobSpec)> {
+        ids.iter().filter_map(|id| {
             let job = self.job(id)?;
             Some((id.as_str(), job, job.open()?))
         })
@@ -494,10 +504,7 @@
 
     /// Open jobs with tasks that wait, in order of their names.
     pub fn waiting_jobs(&self) -> impl Iterator<Item = (&str, &JobRecord, &JobSpec)> {
-        self.waiting.iter().filter_map(|id| {
-            let job = self.job(id)?;
-            Some((id.as_str(), job, job.open()?))
-        })
+        self.with_specs(&self.waiting)
     }
     fn note_waiting(&mut self, id: &str) {
         let counts = self.counts(id);
@@ -548,9 +555,6 @@
     pub fn job_stamp(&self, id: &str) -> u64 {
         self.jobs.get(id).map_or(0, |(_, stamp)| *stamp)
     }
-    pub fn machine_stamp(&self, id: &str) -> u64 {
-        self.machines.get(id).map_or(0, |(_, stamp)| *stamp)
-    }
     pub fn chunk(&self, job: &str, n: u32) -> Option<&ChunkRecord> {
         self.chunks.get(job)?.get(&n).map(|(c, _)| c)
     }
@@ -596,6 +600,12 @@
     pub fn booking(&self, machine: &str, task: &TaskId) -> Option<&Placed> {
         self.held.get(machine)?.tasks.get(task)
     }
+    /// The booking of one attempt of a task, wherever it stands.
+    pub fn attempt(&self, task: &TaskId, attempt: u64) -> Option<&Booking> {
+        let n = self.job(&task.job)?.chunk_of(task.index);
+        let booking = self.chunk(&task.job, n)?.booking(task.index);
+        booking.filter(|b| b.attempt == attempt)
+    }
     pub fn booked_tasks(&self, machine: &str) -> usize {
         self.held.get(machine).map_or(0, |h| h.tasks.len())
     }
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -29,15 +29,12 @@
         }
         self.take_deleted();
         let cache = &self.cache;
-        let booked = |task: &TaskId, attempt: u64| {
-            let job = cache.job(&task.job)?;
-            let chunk = cache.chunk(&task.job, task.index / job.chunk.max(1))?;
-            chunk.booking(task.index).filter(|b| b.attempt == attempt)
-        };
         self.results
-            .retain(|(task, at), _| booked(task, *at).is_some());
-        self.saves
-            .retain(|(task, at)| booked(task, *at).is_some_and(|b| b.stop.is_none()));
+            .retain(|(task, at), _| cache.attempt(task, *at).is_some());
+        self.saves.retain(|(task, at)| {
+            let booking = cache.attempt(task, *at);
+            booking.is_some_and(|b| b.stop.is_none())
+        });
         let mut seen = std::mem::take(&mut self.seen);
         seen.retain(|id, seen| self.updated(id, seen).is_some());
         self.seen = seen;
@@ -68,7 +65,7 @@
             if arms.is_empty() || !room(&draft, arms.len()) {
                 continue;
             }
-            let mark = (held.report.session, held.report.tally);
+            let mark = held.mark();
             for (task, attempt) in arms {
                 self.edit_booking(&mut draft, &task, attempt, |b| {
                     b.direct = None;
@@ -133,18 +130,20 @@
     /// costs one change however many they are.
     fn results_in_turn(&self) -> Vec<(&TaskId, u64, Outcome)> {
         let chunk_of = |task: &TaskId| {
-            let chunk = self.cache.job(&task.job).map_or(1, |j| j.chunk.max(1));
-            (task.job.clone(), task.index / chunk)
+            let job = self.cache.job(&task.job);
+            job.map_or(task.index, |j| j.chunk_of(task.index))
         };
-        let mut chunks: BTreeMap<(String, u32), (usize, Millis)> = BTreeMap::new();
+        let mut chunks: BTreeMap<(&str, u32), (usize, Millis)> = BTreeMap::new();
         for ((task, _), (_, at)) in &self.results {
-            let (count, first) = chunks.entry(chunk_of(task)).or_insert((0, *at));
+            let (count, first) = chunks
+                .entry((&task.job, chunk_of(task)))
+                .or_insert((0, *at));
             *count += 1;
             *first = (*first).min(*at);
         }
         let mut turn: Vec<_> = (self.results.iter())
             .map(|((task, attempt), (outcome, _))| {
-                let chunk = chunk_of(task);
+                let chunk = (task.job.as_str(), chunk_of(task));
                 let (count, first) = chunks[&chunk];
                 let patient = self.now < first + RESULT_PATIENCE_MS;
                 let rank = if patient { usize::MAX - count } else { 0 };
@@ -208,7 +207,7 @@
         let Some(job) = self.cache.job(&task.job) else {
             return;
         };
-        let n = task.index / job.chunk.max(1);
+        let n = job.chunk_of(task.index);
         let booked = draft
             .chunk(&task.job, n)
             .and_then(|c| c.booking(task.index));
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -71,13 +71,8 @@
         self.fetching.retain(|_, until| *until > self.now);
         self.answered.retain(|id, _| cache.machine(id).is_some());
         self.asked_at.retain(|id, _| cache.machine(id).is_some());
-        self.missing_since.retain(|(task, attempt), _| {
-            let job = cache.job(&task.job);
-            let n = job.map_or(0, |j| task.index / j.chunk.max(1));
-            let chunk = cache.chunk(&task.job, n);
-            let booking = chunk.and_then(|c| c.booking(task.index));
-            booking.is_some_and(|b| b.attempt == *attempt)
-        });
+        self.missing_since
+            .retain(|(task, at), _| cache.attempt(task, *at).is_some());
         self.delete_tried
             .retain(|id, _| cache.machine(id).is_some());
     }
