--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -186,6 +186,8 @@
 pub const WAITING_REQUESTS: usize = 2_000;
 /// Tasks that one check-in may list.
 pub const REPORT_TASKS: usize = 1_000;
+/// Orders in one answer to a check-in: some 90 bytes each, and a line may have 64 KiB.
+pub const REPLY_ORDERS: usize = 600;
 /// Bytes of a request body at most, by protocol.
 pub const BODY_BYTES: u64 = 64 * 1024;
 /// Tasks of a job at most, by protocol.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -482,7 +482,9 @@
         self.reply_orders(id, held.request, token, orders);
     }
 
-    fn reply_orders(&mut self, id: &str, request: RequestId, token: u64, orders: Vec<Order>) {
+    fn reply_orders(&mut self, id: &str, request: RequestId, token: u64, mut orders: Vec<Order>) {
+        // What is cut off is due again with the next check-in, starts included.
+        orders.truncate(REPLY_ORDERS);
         for order in &orders {
             match order {
                 Order::Start { task, attempt } => {
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -61,18 +61,25 @@
         }
         let mut armed = Vec::new();
         for (id, held) in &self.held {
-            let arms = self.to_arm(held);
-            if arms.is_empty() || !room(&draft, arms.len()) {
-                continue;
-            }
+            // As many as there is room for: a machine may lack hundreds of starts, which share
+            // the puts of a few chunks. What is left goes with its next check-in.
             let mark = held.mark();
-            for (task, attempt) in arms {
+            let mut any = false;
+            for (task, attempt) in self.to_arm(held) {
+                let known = self.chunk_key(&task).is_some_and(|key| draft.touches(&key));
+                if !room(&draft, usize::from(!known)) {
+                    full = true;
+                    break;
+                }
                 self.edit_booking(&mut draft, &task, attempt, |b| {
                     b.direct = None;
                     b.armed = Some(mark);
                 });
+                any = true;
+            }
+            if any {
+                armed.push(id.clone());
             }
-            armed.push(id.clone());
         }
         for (task, attempt) in &self.saves {
             if room(&draft, 1) {
@@ -196,6 +203,11 @@
         }
     }
 
+    fn chunk_key(&self, task: &TaskId) -> Option<Key> {
+        let n = self.cache.job(&task.job)?.chunk_of(task.index);
+        Some(Key::Chunk(task.job.clone(), n))
+    }
+
     /// Changes one booking; the caller has seen to the transaction's room.
     pub(crate) fn edit_booking(
         &self,
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -792,6 +792,19 @@
     assert!(w.workers.get("n-000000").is_none_or(|w| w.tasks.is_empty()));
 }
 
+/// inc-619c: a check-in that should have carried more starts than a transaction has changes
+/// carried none, so a guest's array of tiny tasks never ended.
+#[test]
+fn a_machine_that_missed_many_starts_gets_them_with_its_check_ins() {
+    let mut w = settled(61, 2, 1);
+    w.capacity = 0;
+    let mut spec = job("j-1", 40);
+    (spec.need.cpus, spec.need.ram) = (100, 100);
+    w.mishaps.command_lost = 1.0;
+    w.submit(0, spec);
+    w.until(40_000, "done", |w| done(w, "j-1"));
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
