--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -4,6 +4,13 @@
 /// Milliseconds between two housekeeping passes: fine enough for second-sized waits.
 pub const TICK_MS: u64 = 200;
 
+/// Milliseconds between two events after which a node takes it that it stood still: its clock
+/// ticks every 50, and workers and users wait 2,000 and more for an answer.
+pub const GAP_MS: u64 = 2_000;
+/// Milliseconds after it that a node waits for a proof of its view before users that find no
+/// other node are sent to it again, to be told when to come back.
+pub const GAP_READY_MS: u64 = 2_000;
+
 /// Milliseconds between two looks at all machines for those that are silent, idle or stuck.
 pub const JUDGE_MS: u64 = 400;
 
@@ -71,6 +78,8 @@
 pub const CONFLICT_PAUSE_MS: u64 = 400;
 /// Milliseconds that the watch may trail a proven revision before it is opened anew.
 pub const WATCH_TRAIL_MS: u64 = 1_000;
+/// Milliseconds that it may trail in all, opened anew or not, until the node counts as cut off.
+pub const WATCH_LOST_MS: u64 = 4_000;
 /// Milliseconds a watch is held open by the state service.
 pub const WATCH_HOLD_MS: u64 = 10_000;
 
@@ -82,6 +91,27 @@
 /// Milliseconds after which a sibling's last message says nothing about it any more.
 pub const PEER_FRESH_MS: u64 = 2_500;
 
+/// Milliseconds of a beat's age, by times of day that may be off, from which it is dropped: held
+/// by a cut or by this node's standing still, it says nothing of now.
+pub const BEAT_OLD_MS: u64 = 1_500;
+/// Direct commands in a row without an answer, and no check-in meanwhile, after which a node
+/// whose siblings hear from workers takes itself to be cut off from them.
+pub const CUT_SILENT: u32 = 3;
+/// Milliseconds after the state service refused something for being asked too much for which a
+/// node keeps to its own share of it.
+pub const THROTTLED_MS: u64 = 20_000;
+/// Milliseconds between two machines that such a node asks whether they hear it again.
+pub const CUT_PROBE_MS: u64 = 1_000;
+/// A node hands workers over when more report to it than this share of the mean ...
+pub const LOAD_SHARE: f64 = 1.15;
+/// ... and this many: below, an even load is not worth a worker's detour.
+pub const LOAD_SPARE: usize = 3;
+/// Most workers handed over between two beats.
+pub const HANDOVER_MAX: usize = 24;
+/// Milliseconds between two workers sent to a sibling that hears from none: were it cut off from
+/// them, each would lose some seconds.
+pub const HANDOVER_PROBE_MS: u64 = 6_000;
+
 /// Milliseconds a check-in may wait for a transaction of its own before it is answered:
 /// workers give up after 4 s.
 pub const CHECKIN_PATIENCE_MS: u64 = 3_200;
@@ -160,6 +190,8 @@
 pub const PREEMPT_GAP_MS: u64 = 500;
 /// Tasks stopped in one round: urgent jobs have up to some 60.
 pub const PREEMPT_TASKS: usize = 32;
+/// Proofs that wait for the watch to reach them, kept apart; more share the latest revision.
+pub const PROOFS_KEPT: usize = 64;
 /// Revisions whose times are remembered, to tell how old an attempt is.
 pub const EPOCHS_REMEMBERED: usize = 4_000;
 /// Milliseconds between two moves of a service's tasks: each costs it half a second.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -76,7 +76,7 @@
         }
     }
 
-    fn later(&self) -> UserReply {
+    pub(crate) fn later(&self) -> UserReply {
         let after_s = match self.state_ok() {
             true => RETRY_AFTER_S,
             false => OUTAGE_RETRY_AFTER_S,
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -8,6 +8,7 @@
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
+use rand::seq::SliceRandom;
 use std::collections::{BTreeMap, HashMap};
 
 /// A check-in that waits for its answer: for the records to be read after a start, or for a
@@ -60,9 +61,10 @@
             heard.at = self.now;
             (heard.session, heard.tally) = mark;
         }
-        if !self.loaded && self.state_age() < CHECKIN_PATIENCE_MS {
-            // Just started: the records will be here in a moment, while another node would
-            // be a second away.
+        self.silent_run = 0;
+        if self.awaits_view() {
+            // Just started, or awake again: the view will be current in a moment, while another
+            // node would be a second away.
             self.hold(request, report, true);
             return;
         }
@@ -82,12 +84,20 @@
         }
         if self.examine(&report) {
             self.hold(request, report, false);
+        } else if let Some(node) = self.hand_over(&report) {
+            self.worker(request, WorkerReply::Elsewhere { node: Some(node) });
         } else {
             let orders = self.orders(&report);
             self.reply_orders(&id, request, token, orders);
         }
     }
 
+    /// Whether the records, or a proof that they are current, are about to come.
+    fn awaits_view(&self) -> bool {
+        !self.loaded && self.state_age() < CHECKIN_PATIENCE_MS
+            || self.stale && self.now < self.woke + CHECKIN_PATIENCE_MS
+    }
+
     fn hold(&mut self, request: RequestId, report: Report, early: bool) {
         let id = report.machine.clone();
         if let Some(old) = self.held.remove(&id) {
@@ -113,6 +123,9 @@
 
     /// Goes on with check-ins that came before the records were read.
     pub(crate) fn take_early(&mut self) {
+        if self.awaits_view() {
+            return;
+        }
         let early: Vec<String> = self
             .held
             .iter()
@@ -126,7 +139,7 @@
         }
     }
 
-    fn worker(&mut self, request: RequestId, reply: WorkerReply) {
+    pub(crate) fn worker(&mut self, request: RequestId, reply: WorkerReply) {
         self.emit(Effect::Worker { request, reply });
     }
 
@@ -506,6 +519,9 @@
             let Some(held) = self.held.get(&id) else {
                 continue;
             };
+            if held.early && self.awaits_view() {
+                continue;
+            }
             if !state_ok && (self.loaded || self.now >= held.since + CHECKIN_PATIENCE_MS) {
                 // Starts that were committed for this answer may go; nothing else.
                 let (request, token) = (held.request, self.machine_token(&id).unwrap_or(0));
@@ -521,14 +537,96 @@
         }
     }
 
+    // ---- This node and the workers ------------------------------------------------------
+
+    /// Whether workers reach this node, as far as can be told: cut off from them alone, it would
+    /// claim work whose starts never arrive, and draw users away from nodes that serve them.
+    pub(crate) fn workers_ok(&self) -> bool {
+        let hears = |s: &Sibling| s.beat.workers_ok && !s.beat.heard.is_empty();
+        self.silent_run < CUT_SILENT || !self.fresh_siblings().any(hears)
+    }
+
+    /// Cut off from the workers, a node asks one of them now and then whether it is heard again.
+    pub(crate) fn probe_cut(&mut self) {
+        if self.silent_run < CUT_SILENT || self.now < self.cut_probe_at + CUT_PROBE_MS {
+            return;
+        }
+        self.cut_probe_at = self.now;
+        let heard: Vec<&str> = (self.cache.machines())
+            .filter(|(id, m, _)| m.is_up() && self.recently_heard(id))
+            .map(|(id, ..)| id)
+            .collect();
+        if let Some(id) = heard.choose(&mut self.rng).map(|id| id.to_string()) {
+            self.command_now(id, Vec::new());
+        }
+    }
+
+    /// Machines that report to this node now.
+    fn load(&self) -> usize {
+        let fresh = self.now.saturating_sub(2 * self.settings.report_ms).max(1);
+        let here = |(id, h): &(&String, &Heard)| h.at >= fresh && !self.newer_elsewhere(id, h);
+        self.heard.iter().filter(here).count()
+    }
+
+    /// Workers that lost their node all turn to the next one, and stay there: it would run out of
+    /// sockets, processor time and changes while its siblings have them to spare. Once these
+    /// hear from workers again, they are handed over a few at a time.
+    pub(crate) fn plan_handover(&mut self) {
+        self.handover = None;
+        if !self.state_ok() || !self.settled() {
+            return;
+        }
+        let recent = 2 * self.settings.report_ms;
+        let loads: Vec<(usize, String)> = (self.fresh_siblings())
+            .filter(|s| s.beat.state_ok && s.beat.workers_ok && !s.beat.young)
+            .map(|s| {
+                let heard = s.beat.heard.iter().filter(|(.., age)| *age < recent);
+                (heard.count(), s.beat.node.clone())
+            })
+            .collect();
+        let own = self.load();
+        let sum = own + loads.iter().map(|(n, _)| n).sum::<usize>();
+        let mean = sum / (loads.len() + 1);
+        let Some((least, node)) = loads.into_iter().min() else {
+            return;
+        };
+        if own <= mean + LOAD_SPARE || own as f64 <= mean as f64 * LOAD_SHARE {
+            return;
+        }
+        let count = match least {
+            0 if self.now < self.handover_probe_at + HANDOVER_PROBE_MS => return,
+            0 => {
+                self.handover_probe_at = self.now;
+                1
+            }
+            _ => least.max(2).min((own - mean) / 2).min(HANDOVER_MAX),
+        };
+        tracing::debug!(own, mean, node, count, "workers to be handed over");
+        self.handover = Some((node, count));
+    }
+
+    /// The sibling that a worker is to report to instead. Not while it has news: both nodes
+    /// would record it.
+    fn hand_over(&mut self, report: &Report) -> Option<String> {
+        let exited = |t: &TaskReport| matches!(t.phase, TaskPhase::Exited(_));
+        let (node, left) = self.handover.as_mut().filter(|(_, left)| *left > 0)?;
+        if report.notice_s.is_some() || report.tasks.iter().any(exited) {
+            return None;
+        }
+        *left -= 1;
+        Some(node.clone())
+    }
+
     // ---- Machines that fall silent, or idle --------------------------------------------
 
     pub(crate) fn commanded(&mut self, machine: String, reach: Reach) {
         match reach {
             Reach::Took | Reach::Refused => {
+                self.silent_run = 0;
                 self.answered.insert(machine.clone(), self.now);
             }
             Reach::Silent => {
+                self.silent_run = self.silent_run.saturating_add(1);
                 self.unreached.insert(machine.clone(), self.now);
             }
             Reach::NotSent => {
@@ -584,7 +682,7 @@
             .machines()
             .filter(|(_, m, _)| m.is_up())
             .filter_map(|(id, _, _)| Some((id, self.heard.get(id)?)))
-            .filter(|(id, h)| !self.newer_elsewhere(id, h))
+            .filter(|(id, h)| h.at >= self.woke && !self.newer_elsewhere(id, h))
             .map(|(id, h)| (id, self.now - h.at))
             .collect();
         let late: Vec<String> = here
@@ -605,7 +703,7 @@
     /// answers tell those that live from those that don't.
     fn unheard_by_all(&self) -> Vec<(String, bool)> {
         let limit = self.move_time() + SILENCE_SPARE_MS;
-        if self.now - self.started < limit + self.settings.report_ms {
+        if self.now - self.woke < limit + self.settings.report_ms {
             return Vec::new();
         }
         let (mut ups, mut late) = (0, Vec::new());
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -94,8 +94,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
     pub node: String,
+    /// The time of day at which it was made.
+    pub at: WallMs,
     /// Whether it reaches the state service and holds current records.
     pub state_ok: bool,
+    /// Whether workers reach it, as far as it knows.
+    pub workers_ok: bool,
     /// Machines it heard of: name, session, tally, milliseconds ago.
     pub heard: Vec<(String, u64, u64, u64)>,
     /// It has just started: siblings tell it, once, what they remember of images.
@@ -142,6 +146,8 @@
         epoch: u64,
         changes: Vec<(Key, u64, Option<Record>)>,
     },
+    /// The state service refused something for being asked too much; it will be sent again.
+    Throttled,
     /// The watch can't go on from where it stood: the records must be read again.
     WatchGap,
     Cloud {
@@ -280,6 +286,12 @@
     pub(crate) now: Millis,
     pub(crate) wall: WallMs,
     pub(crate) started: Millis,
+    /// When it last went on after standing still; its start, if it never did.
+    pub(crate) woke: Millis,
+    /// Its view dates from before that: no proof has been asked for and reached since.
+    pub(crate) stale: bool,
+    /// Operations with lower tokens began before that: their answers say nothing of now.
+    pub(crate) woke_token: Token,
     pub cache: Cache,
     pub(crate) loaded: bool,
     pub(crate) load_round: u64,
@@ -300,8 +312,9 @@
     pub(crate) last_proof: Millis,
     pub(crate) unproven: Vec<RequestId>,
     pub(crate) proving: Vec<RequestId>,
-    pub(crate) catching: Vec<(u64, Vec<RequestId>)>,
+    pub(crate) catching: Vec<(u64, Token, Vec<RequestId>)>,
     pub(crate) trailing_since: Option<Millis>,
+    pub(crate) watch_opened: Millis,
     pub(crate) asks: BTreeMap<RequestId, Ask>,
     // Machines
     pub types: HashMap<String, MachineType>,
@@ -312,6 +325,16 @@
     /// What siblings said they heard of machines.
     pub(crate) told: HashMap<String, Heard>,
     pub(crate) siblings: BTreeMap<String, Sibling>,
+    /// Direct commands without an answer since workers were last heard from, in a row.
+    pub(crate) silent_run: u32,
+    /// When the state service last said that it was asked too much.
+    pub(crate) throttled_at: Option<Millis>,
+    pub(crate) cut_probe_at: Millis,
+    /// Workers to be handed over until the next beat, and to whom.
+    pub(crate) handover: Option<(String, usize)>,
+    pub(crate) handover_probe_at: Millis,
+    /// Why this node was not ready, and since when; and the same of cuts: for the log.
+    pub(crate) troubles: BTreeMap<&'static str, Millis>,
     pub(crate) gone: Gone,
     // What waits to be recorded: see `results`
     pub(crate) results: BTreeMap<(TaskId, u64), (Outcome, Millis)>,
@@ -394,6 +417,9 @@
             now,
             wall,
             started: now,
+            woke: now,
+            stale: false,
+            woke_token: 0,
             cache: Cache::default(),
             loaded: false,
             load_round: 0,
@@ -413,6 +439,7 @@
             proving: Vec::new(),
             catching: Vec::new(),
             trailing_since: None,
+            watch_opened: now,
             asks: BTreeMap::new(),
             types: HashMap::new(),
             types_at: None,
@@ -421,6 +448,12 @@
             heard: HashMap::new(),
             told: HashMap::new(),
             siblings: BTreeMap::new(),
+            silent_run: 0,
+            throttled_at: None,
+            cut_probe_at: now,
+            handover: None,
+            handover_probe_at: now,
+            troubles: BTreeMap::new(),
             gone: Gone::default(),
             results: BTreeMap::new(),
             saves: BTreeSet::new(),
@@ -474,8 +507,12 @@
 
     /// Takes one event at a steady time and a time of day; returns what is to be done.
     pub fn handle(&mut self, now: Millis, wall: WallMs, event: Event) -> Vec<Effect> {
+        let gap = now.saturating_sub(self.now);
         self.now = self.now.max(now);
         self.wall = wall;
+        if gap >= GAP_MS {
+            self.wake(gap);
+        }
         match event {
             Event::Tick => self.tick(),
             Event::Submit { request, spec } => self.ask_submit(request, *spec),
@@ -485,19 +522,10 @@
             Event::State { token, answer } => self.state_answer(token, answer),
             Event::Watched { epoch, changes } => self.watched(epoch, changes),
             Event::WatchGap => self.reload(),
+            Event::Throttled => self.throttled_at = Some(self.now),
             Event::Cloud { token, answer } => self.cloud_answer(token, answer),
             Event::Commanded { machine, reach } => self.commanded(machine, reach),
-            Event::Beat(beat) => {
-                if beat.node != self.settings.node {
-                    self.told_of(&beat);
-                    self.cache.take_hints(&beat.images);
-                    let known = self.siblings.get(&beat.node);
-                    let appeared = known.is_none_or(|s| !s.beat.young);
-                    self.share_images |= beat.young && appeared;
-                    self.siblings
-                        .insert(beat.node.clone(), Sibling { at: self.now, beat });
-                }
-            }
+            Event::Beat(beat) => self.heed(beat),
         }
         self.start_proof();
         if std::mem::take(&mut self.changed) {
@@ -508,6 +536,59 @@
         std::mem::take(&mut self.out)
     }
 
+    /// After standing still: what was held before is old, and nothing is done on the strength
+    /// of it. The view counts again once a proof asked for from now on has been reached;
+    /// machines are judged and placed on after a round of reports, as after a start.
+    fn wake(&mut self, gap: Millis) {
+        tracing::info!(ms = gap, asks = self.asks.len(), "stood still");
+        self.woke = self.now;
+        self.woke_token = self.next_token;
+        self.stale = true;
+        self.last_ok = None;
+        self.last_beat_read = 0;
+        // Those who asked have given up, or are about to: they are told to come back.
+        for request in self.asks.keys().copied().collect::<Vec<_>>() {
+            let reply = self.later();
+            self.answer(request, reply);
+        }
+        self.unproven.clear();
+        for (_, held) in std::mem::take(&mut self.held) {
+            self.worker(held.request, WorkerReply::NotNow);
+        }
+        // Proofs of what ended stay true. What gave reason to act on machines does not.
+        self.condemned.clear();
+        self.seen.clear();
+        self.saves.clear();
+        self.up_since.clear();
+        self.idle_since.clear();
+        self.asked_at.clear();
+        self.unreached.clear();
+        self.missing_since.clear();
+        self.strange.clear();
+        self.handover = None;
+        self.silent_run = 0;
+    }
+
+    fn heed(&mut self, beat: Beat) {
+        let old = BEAT_OLD_MS + 2 * self.settings.clock_off_ms;
+        if beat.node == self.settings.node || self.wall > beat.at + old {
+            tracing::debug!(
+                node = beat.node,
+                ms = self.wall.saturating_sub(beat.at),
+                "old beat dropped"
+            );
+            return;
+        }
+        self.told_of(&beat);
+        self.cache.take_hints(&beat.images);
+        let known = self.siblings.get(&beat.node);
+        let appeared = known.is_none_or(|s| !s.beat.young);
+        self.share_images |= beat.young && appeared;
+        let at = self.now;
+        self.siblings
+            .insert(beat.node.clone(), Sibling { at, beat });
+    }
+
     pub(crate) fn emit(&mut self, effect: Effect) {
         self.out.push(effect);
     }
@@ -537,9 +618,12 @@
         self.emit(Effect::Cloud { token, op });
     }
 
-    /// Whether the records are known and the state service answered lately.
+    /// Whether the records are known and current, and the state service answered lately.
     pub fn state_ok(&self) -> bool {
+        let trails = |at| self.now >= at + WATCH_LOST_MS;
         self.loaded
+            && !self.stale
+            && !self.trailing_since.is_some_and(trails)
             && self
                 .last_ok
                 .is_some_and(|at| self.now.saturating_sub(at) <= STATE_LOST_MS)
@@ -549,13 +633,57 @@
         self.now - self.last_ok.unwrap_or(self.started)
     }
 
-    /// Whether sending users here helps them. While every node has lost the state service
-    /// none is better than another, and leaving the balancer would only prolong the outage.
+    /// Whether sending users here helps them.
     pub fn ready(&self) -> bool {
-        self.loaded
-            && !self.types.is_empty()
-            && self.cache.term().is_some()
-            && (self.state_ok() || self.sibling_with_state().is_none())
+        self.not_ready().is_none()
+    }
+
+    /// What keeps users from being sent here. While every node has lost the state service none
+    /// is better than another: leaving the balancer would only prolong the outage, and here
+    /// they are at least told when to come back.
+    fn not_ready(&self) -> Option<&'static str> {
+        if !self.loaded {
+            Some("records are not read")
+        } else if self.types.is_empty() {
+            Some("machine types are not known")
+        } else if self.cache.term().is_none() {
+            Some("there is no term")
+        } else if self.state_ok() {
+            let better = |s: &Sibling| s.beat.state_ok && s.beat.workers_ok;
+            let elsewhere = self.fresh_siblings().any(better);
+            (!self.workers_ok() && elsewhere).then_some("workers do not reach it")
+        } else if self.sibling_with_state().is_some() {
+            Some("the state service is not reached")
+        } else {
+            let waking = self.stale && self.now < self.woke + GAP_READY_MS;
+            waking.then_some("it stood still")
+        }
+    }
+
+    /// Logs when a trouble that operators ask about begins and ends.
+    fn note_troubles(&mut self) {
+        let not_ready = self.not_ready();
+        let cut = self.loaded && !self.state_ok();
+        let reasons = [
+            Some("the state service is not reached").filter(|_| cut),
+            Some("workers do not reach it").filter(|_| !self.workers_ok()),
+            not_ready,
+        ];
+        for what in reasons.into_iter().flatten() {
+            if !self.troubles.contains_key(what) {
+                let ready = not_ready.is_none();
+                tracing::info!(what, ready, "trouble begins");
+                self.troubles.insert(what, self.now);
+            }
+        }
+        let now = self.now;
+        self.troubles.retain(|what, since| {
+            let lasts = reasons.contains(&Some(*what));
+            if !lasts {
+                tracing::info!(what, ms = now - *since, "trouble ends");
+            }
+            lasts
+        });
     }
 
     pub(crate) fn fresh_siblings(&self) -> impl Iterator<Item = &Sibling> {
@@ -582,18 +710,26 @@
             })
     }
 
-    /// Changes that may be sent to the state service now. The share of siblings that say that
-    /// they do not reach it goes to the others.
+    /// Changes that may be sent to the state service now. The share of siblings that do not
+    /// reach it goes to the others.
     pub(crate) fn writes_left(&mut self) -> usize {
         let all = self.settings.nodes.len();
-        let idle = self.fresh_siblings().filter(|s| !s.beat.state_ok).count();
+        // A silent sibling most likely stands still or is down. Should it only be the link that
+        // is cut, the service says that too much is asked, and its share is its own again.
+        let silent = match self.throttled_at {
+            Some(at) if self.now < at + THROTTLED_MS => 0,
+            _ => all - 1 - self.fresh_siblings().count().min(all - 1),
+        };
+        let cut = self.fresh_siblings().filter(|s| !s.beat.state_ok).count();
+        let idle = cut + silent;
         let times = all as f64 / all.saturating_sub(idle).max(1) as f64;
         self.writes.left(self.now, times)
     }
 
-    /// After a start, one round of reports comes in before anything is placed or judged.
+    /// After a start, or after standing still, one round of reports comes in before anything is
+    /// placed or judged.
     pub(crate) fn settled(&self) -> bool {
-        self.now - self.started >= self.settings.report_ms * 5 / 4
+        self.now - self.woke >= self.settings.report_ms * 5 / 4
     }
 
     // ---- Time ----------------------------------------------------------------------
@@ -605,8 +741,11 @@
             return;
         }
         self.last_house = self.now;
+        self.note_troubles();
+        self.probe_cut();
         if self.now >= self.last_beat + PEER_BEAT_MS {
             self.last_beat = self.now;
+            self.plan_handover();
             let heard = self
                 .heard
                 .iter()
@@ -619,7 +758,9 @@
             };
             self.emit(Effect::Beat(Beat {
                 node: self.settings.node.clone(),
+                at: self.wall,
                 state_ok: self.state_ok(),
+                workers_ok: self.workers_ok(),
                 heard,
                 young: self.now - self.started < YOUNG_MS,
                 images,
@@ -638,19 +779,17 @@
                 self.cloud(CloudOp::Types, Purpose::Types);
             }
         }
-        if !self.state_ok() {
-            return;
-        }
-        if self
-            .trailing_since
-            .is_some_and(|at| self.now >= at + WATCH_TRAIL_MS)
-        {
+        let trails = self.trailing_since.map(|at| at.max(self.watch_opened));
+        if self.loaded && trails.is_some_and(|at| self.now >= at + WATCH_TRAIL_MS) {
             tracing::info!(epoch = self.cache.epoch, "the watch trails: opened anew");
-            self.trailing_since = Some(self.now);
+            self.watch_opened = self.now;
             self.emit(Effect::Watch {
                 since: self.cache.epoch,
             });
         }
+        if !self.state_ok() {
+            return;
+        }
         if self.cache.term().is_none() && !self.term_busy {
             let mut draft = Draft::new(&self.cache);
             draft.put(Key::Term, Record::Term(TermRecord { term: 1 }));
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -16,6 +16,7 @@
             && self.cache.epoch >= self.load_high
             && self.state_ok()
             && self.settled()
+            && self.workers_ok()
             && !self.types.is_empty()
     }
 
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -164,12 +164,17 @@
         let epoch = self.cache.epoch;
         let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.catching)
             .into_iter()
-            .partition(|(e, _)| *e <= epoch);
+            .partition(|(e, ..)| *e <= epoch);
         self.catching = waiting;
         if self.catching.is_empty() {
             self.trailing_since = None;
         }
-        for (_, requests) in ready {
+        for (_, token, requests) in ready {
+            if self.stale && self.loaded && token >= self.woke_token {
+                self.stale = false;
+                self.changed = true;
+                self.lookup_wanted = true;
+            }
             for request in requests {
                 self.proven(request);
             }
@@ -182,6 +187,7 @@
         };
         match &answer {
             StateAnswer::Unavailable | StateAnswer::NoAnswer => {}
+            _ if token < self.woke_token => {}
             _ => self.last_ok = Some(self.now),
         }
         let committed = matches!(answer, StateAnswer::Committed { .. });
@@ -207,12 +213,21 @@
             Purpose::Proof => {
                 self.proof_busy = false;
                 let requests = std::mem::take(&mut self.proving);
+                let waiting = self.catching.len();
                 match answer {
+                    // Read before this node stood still: its view may have changed since.
+                    _ if token < self.woke_token => {}
                     StateAnswer::Proof { epoch } => {
                         if epoch > self.cache.epoch && self.trailing_since.is_none() {
                             self.trailing_since = Some(self.now);
                         }
-                        self.catching.push((epoch, requests));
+                        match self.catching.last_mut() {
+                            Some(last) if last.0 == epoch || waiting >= PROOFS_KEPT => {
+                                (last.0, last.1) = (last.0.max(epoch), token);
+                                last.2.extend(requests);
+                            }
+                            _ => self.catching.push((epoch, token, requests)),
+                        }
                         self.caught_up();
                     }
                     _ => {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -15,6 +15,14 @@
     w
 }
 
+/// The same, with machines that are never returned for having nothing to do.
+fn kept(seed: u64, nodes: usize, machines: usize) -> World {
+    let mut w = World::new(seed, nodes, machines);
+    w.settings.idle_return_ms = 3_600_000;
+    w.run(5_000);
+    w
+}
+
 fn done(w: &World, id: &str) -> bool {
     w.job_phase(id) == Some(Phase::Done)
 }
@@ -805,6 +813,124 @@
     w.until(40_000, "done", |w| done(w, "j-1"));
 }
 
+/// A node that stands still wakes with check-ins, answers and beats from before in its queues. It
+/// must neither delete machines that reported elsewhere meanwhile nor act on its old view.
+#[test]
+fn a_node_that_stood_still_acts_on_nothing_it_held() {
+    for ms in [5_000, 20_000, 70_000] {
+        let mut w = kept(62, 3, 6);
+        w.capacity = 0;
+        w.run_ms = 4_000;
+        w.submit(1, service("j-1", 3));
+        w.until(10_000, "up", |w| w.running("j-1") == 3);
+        w.submit(0, job("j-2", 12));
+        w.run(30);
+        w.freeze(0, ms);
+        w.run(2_000);
+        let r = w.cancel(1, "j-2");
+        assert!(matches!(w.answer(r), UserReply::Cancelled { .. }));
+        w.submit(2, job("j-3", 6));
+        let late = w.status(0, "j-2");
+        let r = w.submit(0, job("j-4", 1));
+        w.until(ms, "awake", |w| !w.frozen(0));
+        let sent = w.nodes[0].sent;
+        w.run(1);
+        assert_eq!(
+            w.nodes[0].sent, sent,
+            "nothing goes out before its view is current"
+        );
+        assert!(
+            matches!(w.answer(r), UserReply::Later { .. }),
+            "told to come back"
+        );
+        assert!(matches!(
+            w.answer(late),
+            UserReply::Later { .. }
+                | UserReply::State {
+                    state: JobState::Cancelled,
+                    ..
+                }
+        ));
+        w.until(30_000, "done", |w| done(w, "j-3"));
+        w.run(20_000);
+        assert!(w.deleted.is_empty(), "{:?} after {ms} ms", w.deleted);
+        assert_eq!(w.running("j-1"), 3);
+        assert!(w.nodes[0].node.as_ref().unwrap().ready(), "it serves again");
+        w.check_records();
+    }
+}
+
+#[test]
+fn all_nodes_stand_still_and_nothing_is_lost() {
+    let mut w = kept(63, 3, 6);
+    w.capacity = 0;
+    w.submit(0, service("j-1", 3));
+    w.submit(1, job("j-2", 4));
+    w.until(10_000, "up", |w| w.running("j-1") == 3);
+    for (n, ms) in [(0, 30_000), (1, 32_000), (2, 30_500)] {
+        w.freeze(n, ms);
+    }
+    w.run(33_000);
+    w.until(30_000, "up again", |w| w.running("j-1") == 3);
+    w.until(30_000, "done", |w| done(w, "j-2"));
+    w.run(20_000);
+    assert!(w.deleted.is_empty(), "{:?}", w.deleted);
+    w.check_records();
+}
+
+/// While a node stands still its siblings carry on with all of it: workers, claims booked and
+/// never commanded, the state service's changes.
+#[test]
+fn siblings_carry_on_the_claims_of_a_node_that_stands_still() {
+    for after in [14, 18, 22, 26, 30] {
+        let mut w = settled(64, 3, 4);
+        w.submit(0, service("j-1", 2));
+        w.run(after);
+        w.freeze(0, 120_000);
+        let r = w.submit(1, service("j-1", 2));
+        w.answer(r);
+        w.until(20_000, "up", |w| w.running("j-1") == 2);
+        assert!(w.frozen(0));
+    }
+}
+
+/// One-way or not, a node that workers do not reach claims nothing once it has noticed, deletes
+/// nothing, and sends users elsewhere; it serves again when that is over.
+#[test]
+fn a_node_that_workers_do_not_reach_leaves_the_work_to_its_siblings() {
+    for mute in [false, true] {
+        let mut w = kept(65, 3, 6);
+        w.capacity = 0;
+        w.nodes[0].cut_from_workers = !mute;
+        w.nodes[0].mute = mute;
+        for i in 0..6 {
+            w.submit(0, job(&format!("j-{i}"), 2));
+            w.run(3_000);
+        }
+        let ready = |w: &World| w.nodes[0].node.as_ref().unwrap().ready();
+        assert!(!ready(&w), "users are sent to others");
+        w.until(20_000, "done", |w| {
+            (0..6).all(|i| done(w, &format!("j-{i}")))
+        });
+        assert!(w.deleted.is_empty(), "{:?}", w.deleted);
+        w.heal();
+        w.until(10_000, "ready again", |w| ready(w));
+    }
+}
+
+/// After a cut or a freeze all workers sit at the nodes they turned to.
+#[test]
+fn workers_are_shared_out_again_after_a_node_was_away() {
+    let mut w = kept(66, 3, 60);
+    w.freeze(0, 12_000);
+    w.run(14_000);
+    let at = |w: &World, n| w.workers.values().filter(|w| w.node == n).count();
+    assert!(at(&w, 0) < 10, "they have turned to others");
+    w.until(40_000, "shared out", |w| (0..3).all(|n| at(w, n) >= 12));
+    w.run(10_000);
+    assert!((0..3).all(|n| at(&w, n) >= 12), "and it stays so");
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
@@ -823,8 +949,8 @@
             command_late: 0.05,
         };
         let mut jobs: Vec<String> = Vec::new();
-        for step in 0..120 {
-            match w.rng.gen_range(0..16) {
+        for step in 0..150 {
+            match w.rng.gen_range(0..18) {
                 0..=3 => {
                     let id = format!("j-{step}");
                     let tasks = w.rng.gen_range(1..5);
@@ -881,6 +1007,15 @@
                     }
                 }
                 12 => w.cloud_down = !w.cloud_down,
+                13 => {
+                    let n = w.rng.gen_range(0..3);
+                    let ms = [1_500, 5_000, 20_000, 70_000][w.rng.gen_range(0..4)];
+                    w.freeze(n, ms);
+                }
+                14 => {
+                    let n = w.rng.gen_range(0..3);
+                    w.nodes[n].mute = !w.nodes[n].mute;
+                }
                 _ => {
                     for id in jobs.clone() {
                         let n = w.rng.gen_range(0..3);
@@ -898,6 +1033,7 @@
         w.mishaps = Mishaps::default();
         w.heal();
         w.capacity += 4;
+        w.until(75_000, "awake", |w| (0..3).all(|n| !w.frozen(n)));
         w.run(5_000);
         // Services hold their team's limit for as long as they are wanted.
         for id in jobs
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -28,6 +28,7 @@
     Boot(String),
     Command(usize, u32, String, u64, u64, Vec<Order>, bool),
     Restart(usize),
+    Thaw(usize, u32),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,7 +46,14 @@
     pub cut_from_state: bool,
     pub cut_from_workers: bool,
     pub cut_from_peers: bool,
+    /// What the node sends does not get through, to workers and siblings; what it gets does.
+    pub mute: bool,
     watching: Option<u64>,
+    /// Until when it stands still, and what comes in meanwhile.
+    frozen_until: u64,
+    backlog: Vec<Event>,
+    /// Commands and transactions that it has sent.
+    pub sent: u32,
 }
 
 pub struct Task {
@@ -268,7 +276,11 @@
                 cut_from_state: false,
                 cut_from_workers: false,
                 cut_from_peers: false,
+                mute: false,
                 watching: None,
+                frozen_until: 0,
+                backlog: Vec::new(),
+                sent: 0,
             });
             w.at(i as u64 * 7, Act::Restart(i));
         }
@@ -323,9 +335,23 @@
         slot.node = None;
         slot.life += 1;
         slot.watching = None;
+        slot.frozen_until = 0;
+        slot.backlog.clear();
         self.at(back_after, Act::Restart(n));
     }
 
+    /// The node stands still, its clocks running on; what comes in waits for it.
+    pub fn freeze(&mut self, n: usize, ms: u64) {
+        let slot = &mut self.nodes[n];
+        slot.frozen_until = slot.frozen_until.max(self.now + ms);
+        let life = slot.life;
+        self.at(ms, Act::Thaw(n, life));
+    }
+
+    pub fn frozen(&self, n: usize) -> bool {
+        self.now < self.nodes[n].frozen_until
+    }
+
     /// Ends all outages and cuts.
     pub fn heal(&mut self) {
         (self.state_down, self.cloud_down) = (false, false);
@@ -333,6 +359,7 @@
             slot.cut_from_state = false;
             slot.cut_from_workers = false;
             slot.cut_from_peers = false;
+            slot.mute = false;
         }
         for worker in self.workers.values_mut() {
             worker.cut = false;
@@ -587,6 +614,10 @@
 
     fn node(&mut self, n: usize, event: Event) {
         let (now, wall) = (self.now, WALL0 + self.now);
+        if self.frozen(n) {
+            self.nodes[n].backlog.push(event);
+            return;
+        }
         let Some(node) = self.nodes[n].node.as_mut() else {
             return;
         };
@@ -599,7 +630,8 @@
                     let key = (n, life, request);
                     if let Some((w, session, serial)) = self.checkins.remove(&key) {
                         let lost = self.mishaps.reply_lost;
-                        if self.nodes[n].cut_from_workers || self.chance(lost) {
+                        let slot = &self.nodes[n];
+                        if slot.cut_from_workers || slot.mute || self.chance(lost) {
                             if matches!(&reply, WorkerReply::Orders { orders, .. }
                                 if orders.iter().any(|o| matches!(o, Order::Start { .. })))
                             {
@@ -612,6 +644,7 @@
                     }
                 }
                 Effect::State { token, op, .. } => {
+                    self.nodes[n].sent += u32::from(matches!(op, StateOp::Txn(_)));
                     if self.nodes[n].cut_from_state {
                         let event = Event::State {
                             token,
@@ -649,7 +682,9 @@
                     ..
                 } => {
                     let (lost, late) = (self.mishaps.command_lost, self.mishaps.command_late);
-                    if self.nodes[n].cut_from_workers || self.chance(lost) {
+                    let slot = &mut self.nodes[n];
+                    slot.sent += u32::from(!orders.is_empty());
+                    if slot.cut_from_workers || slot.mute || self.chance(lost) {
                         let event = Event::Commanded {
                             machine,
                             reach: Reach::Silent,
@@ -674,7 +709,11 @@
                 }
                 Effect::Beat(beat) => {
                     for m in 0..self.nodes.len() {
-                        if m != n && !self.nodes[n].cut_from_peers && !self.nodes[m].cut_from_peers
+                        let cut = |slot: &NodeSlot| slot.cut_from_peers;
+                        if m != n
+                            && !cut(&self.nodes[n])
+                            && !cut(&self.nodes[m])
+                            && !self.nodes[n].mute
                         {
                             let life = self.nodes[m].life;
                             self.at(3, Act::Node(m, life, Event::Beat(beat.clone())));
@@ -782,10 +821,20 @@
             }
             Act::Tick(n, life) => {
                 if self.nodes[n].life == life && self.nodes[n].node.is_some() {
-                    self.node(n, Event::Tick);
+                    // A clock that stood still ticks once for all it missed.
+                    if !self.frozen(n) {
+                        self.node(n, Event::Tick);
+                    }
                     self.at(50, Act::Tick(n, life));
                 }
             }
+            Act::Thaw(n, life) => {
+                if self.nodes[n].life == life && !self.frozen(n) {
+                    for event in std::mem::take(&mut self.nodes[n].backlog) {
+                        self.node(n, event);
+                    }
+                }
+            }
             Act::Node(n, life, event) => {
                 if self.nodes[n].life == life {
                     self.node(n, event);
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -206,6 +206,7 @@
                         token,
                         op,
                         priority,
+                        since: Instant::now(),
                     };
                     if state.try_send(job).is_err() {
                         let answer = glenmount_core::node::StateAnswer::Unavailable;
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -67,6 +67,12 @@
                     let Ok(frame) = rmp_serde::to_vec(&*beats.borrow_and_update()) else {
                         continue;
                     };
+                    // A sibling that heard nothing for long, as after this process stood still,
+                    // has closed the connection: what is written to it may vanish unnoticed.
+                    if stream.try_read(&mut [0]).is_ok() {
+                        beats.mark_changed();
+                        break;
+                    }
                     let send = async {
                         stream.write_u32(frame.len() as u32).await?;
                         stream.write_all(&frame).await
@@ -80,3 +86,42 @@
         }
     });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn beat(node: &str) -> Beat {
+        Beat {
+            node: node.into(),
+            ..Beat::default()
+        }
+    }
+
+    /// A sibling that stood still was not heard again by those that had closed its connections.
+    #[tokio::test(flavor = "current_thread")]
+    async fn a_beat_follows_the_sibling_to_a_new_connection() {
+        let local = tokio::task::LocalSet::new();
+        let story = async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (beat_in, beats) = watch::channel(Beat::default());
+            tell(listener.local_addr().unwrap(), beats);
+            let (first, _) = listener.accept().await.unwrap();
+            let (core, mut events) = mpsc::channel(8);
+            beat_in.send(beat("a")).unwrap();
+            tokio::task::spawn_local(async move {
+                let mut first = first;
+                let len = first.read_u32().await.unwrap();
+                first.read_exact(&mut vec![0; len as usize]).await.unwrap();
+            });
+            sleep(Duration::from_millis(50)).await;
+            listen(listener, core);
+            beat_in.send(beat("b")).unwrap();
+            let heard = events.recv().await;
+            assert!(matches!(heard, Some(Event::Beat(b)) if b.node == "b"));
+        };
+        timeout(Duration::from_secs(5), local.run_until(story))
+            .await
+            .expect("the beat arrives");
+    }
+}
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -268,7 +268,8 @@
         cloud: file.outside.cloud,
         state: file.outside.state,
         state_rps: rate("settings.state.rps", p.state.rps)? * share,
-        state_write_rps: rate("settings.state.write_rps", p.state.write_rps)? * share,
+        // The core keeps its share, and takes that of siblings that can't use theirs.
+        state_write_rps: rate("settings.state.write_rps", p.state.write_rps)?,
         // Mostly a single node deals with the cloud; when several do, a refusal is asked again.
         cloud_rps: rate("settings.cloud.rps", p.cloud.rps)? * share.max(CLOUD_SHARE),
         sockets: p.quota.sockets,
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -12,7 +12,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, Duration};
+use tokio::time::{sleep, Duration, Instant};
 
 /// Time an answer may take: usually 10 ms, now and then a few hundred.
 const TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -28,6 +28,9 @@
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two tries to open the watch.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// What has waited in line for longer is not sent: after this process stood still, or a long
+/// time at the limit of the rate, it rests on what has changed since.
+const OLD: Duration = Duration::from_millis(1_500);
 /// Requests that may wait in line; more get `Unavailable` at once.
 const LINE: usize = 4_000;
 
@@ -35,10 +38,12 @@
     pub token: Token,
     pub op: StateOp,
     pub priority: Priority,
+    pub since: Instant,
 }
 
 enum Message {
     Do(Job),
+    Wake,
     Finished,
     TooMany(Job),
 }
@@ -160,6 +165,14 @@
     }
 }
 
+/// It was never sent, so it certainly had no effect.
+fn unavailable(job: &Job) -> Event {
+    Event::State {
+        token: job.token,
+        answer: StateAnswer::Unavailable,
+    }
+}
+
 /// Starts the actor; work is sent to the returned channel, outcomes go to the core.
 pub fn client(
     http: Http,
@@ -190,22 +203,16 @@
             } else {
                 tokio::select! {
                     m = inner.recv() => m,
-                    _ = sleep(wait) => Some(Message::Do(Job {
-                        token: 0, op: StateOp::Proof, priority: Priority::Housekeeping })),
+                    _ = sleep(wait) => Some(Message::Wake),
                 }
             };
             match message {
                 None => return,
-                // Token 0 only wakes the actor.
-                Some(Message::Do(job)) if job.token == 0 => {}
+                Some(Message::Wake) => {}
                 Some(Message::Do(job)) => {
                     let line = &mut lines[job.priority as usize];
                     if line.len() >= LINE {
-                        let event = Event::State {
-                            token: job.token,
-                            answer: StateAnswer::Unavailable,
-                        };
-                        let _ = core.send(event).await;
+                        let _ = core.send(unavailable(&job)).await;
                     } else {
                         line.push_back(job);
                     }
@@ -215,6 +222,7 @@
                     in_flight -= 1;
                     requests.drain();
                     writes.drain();
+                    let _ = core.send(Event::Throttled).await;
                     lines[job.priority as usize].push_front(job);
                 }
             }
@@ -223,6 +231,12 @@
                 let Some(line) = lines.iter_mut().find(|l| !l.is_empty()) else {
                     break;
                 };
+                if line.front().is_some_and(|job| job.since.elapsed() > OLD) {
+                    if let Some(old) = line.pop_front() {
+                        let _ = core.send(unavailable(&old)).await;
+                    }
+                    continue;
+                }
                 let puts = line.front().map_or(0.0, |j| cost(&j.op));
                 let pause = requests.wait(1.0).max(writes.wait(puts));
                 if !pause.is_zero() {
--- a/crates/glenmount/src/workers.rs
+++ b/crates/glenmount/src/workers.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use tokio::sync::{mpsc, Semaphore};
-use tokio::time::{timeout, Duration};
+use tokio::time::{timeout, Duration, Instant};
 
 const TIMEOUT: Duration = Duration::from_millis(COMMAND_LIMIT_MS);
 /// Bytes of an answer at most: a report of many tasks.
@@ -35,12 +35,15 @@
         let target = address.parse::<SocketAddr>().ok();
         let slots = self.slots.clone();
         let http = self.http.clone();
+        let since = Instant::now();
         tokio::task::spawn_local(async move {
             // Machines that don't answer hold their slots for a while; a command that finds
             // none free says nothing of its own machine.
             let slot = timeout(TIMEOUT, slots.acquire_owned()).await;
+            // Nor is one sent that this process stood still over: it would arrive late.
+            let late = since.elapsed() > TIMEOUT;
             let reach = match (target, slot) {
-                (Some(addr), Ok(Ok(_slot))) => {
+                (Some(addr), Ok(Ok(_slot))) if !late => {
                     let http = http.to(addr);
                     let answer = http
                         .call(Method::POST, "/do", Some(body), TIMEOUT, ANSWER_BYTES)
