An answer that the watch has overtaken is not taken up

Cause: the answer to an own transaction, processed after the watch had told of it and of a later removal, put the record into the copy for good; every later flush was lost. Ruled out: lost news, the budget, the freeze itself.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -191,8 +191,11 @@
             _ => self.last_ok = Some(self.now),
         }
         let committed = matches!(answer, StateAnswer::Committed { .. });
+        // What the watch has passed is in the copy, as is all that became of it since: a record
+        // removed meanwhile would stand there again, for good.
         if let (StateAnswer::Committed { epoch }, Some(txn)) = (&answer, &txn) {
-            for (key, record) in &txn.changes {
+            let overtaken = *epoch <= self.cache.epoch;
+            for (key, record) in txn.changes.iter().filter(|_| !overtaken) {
                 self.apply(key.clone(), *epoch, record.clone(), true);
             }
         }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -931,6 +931,28 @@
     assert!((0..3).all(|n| at(&w, n) >= 12), "and it stays so");
 }
 
+/// The watch may tell of a change, and of what became of it, before the answer to the transaction
+/// that made it arrives. Taken up then, it stood in the copy for good: every later transaction
+/// that rested on it was lost.
+#[test]
+fn an_answer_that_the_watch_has_overtaken_changes_nothing() {
+    for seed in 0..4 {
+        let mut w = settled(70 + seed, 3, 6);
+        w.run_ms = 300;
+        w.mishaps.answer_slow = 0.3;
+        for i in 0..20 {
+            w.submit(i % 3, job(&format!("j-{i}"), 3));
+            w.run(700);
+        }
+        w.until(60_000, "all done", |w| {
+            (0..20).all(|i| done(w, &format!("j-{i}")))
+        });
+        w.mishaps.answer_slow = 0.0;
+        w.run(3_000);
+        w.check_records();
+    }
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
@@ -940,6 +962,7 @@
         w.mishaps = Mishaps {
             txn_answer_lost: 0.03,
             txn_late: 0.03,
+            answer_slow: 0.05,
             report_lost: 0.03,
             report_late: 0.03,
             report_twice: 0.05,
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -102,6 +102,8 @@
 pub struct Mishaps {
     pub txn_answer_lost: f64,
     pub txn_late: f64,
+    /// An answer is overtaken by the watch, by up to a second.
+    pub answer_slow: f64,
     pub report_lost: f64,
     pub report_late: f64,
     pub report_twice: f64,
@@ -544,6 +546,16 @@
             }
         }
         for slot in self.nodes.iter().filter_map(|s| s.node.as_ref()) {
+            if slot.cache.epoch == self.epoch && slot.state_ok() {
+                for (key, (_, stamp)) in &self.store {
+                    assert_eq!(slot.cache.stamp(key), *stamp, "copy of {key:?}");
+                }
+                assert_eq!(
+                    slot.cache.len(),
+                    self.store.len(),
+                    "what is gone is not in a copy"
+                );
+            }
             for (team, used) in &self.booked_cpus() {
                 if slot.cache.epoch == self.epoch {
                     assert_eq!(slot.cache.usage(team).cpus, *used, "usage of {team}");
@@ -830,7 +842,18 @@
             }
             Act::Thaw(n, life) => {
                 if self.nodes[n].life == life && !self.frozen(n) {
-                    for event in std::mem::take(&mut self.nodes[n].backlog) {
+                    // Each of its connections is read in order, but any of them first.
+                    let mut backlog = std::mem::take(&mut self.nodes[n].backlog);
+                    let start = self.rng.gen_range(0..8);
+                    let turn = |e: &Event| match e {
+                        Event::Watched { .. } | Event::WatchGap => 0,
+                        Event::State { .. } => 3,
+                        Event::Beat(_) => 5,
+                        Event::CheckIn { .. } => 6,
+                        _ => 7,
+                    };
+                    backlog.sort_by_key(|e| (turn(e) + start) % 8);
+                    for event in backlog {
                         self.node(n, event);
                     }
                 }
@@ -848,7 +871,12 @@
                 };
                 if fate == Fate::Normal {
                     let event = Event::State { token, answer };
-                    self.at(3, Act::Node(n, life, event));
+                    let slow = self.mishaps.answer_slow;
+                    let delay = match self.chance(slow) {
+                        true => self.rng.gen_range(3..1_000),
+                        false => 3,
+                    };
+                    self.at(delay, Act::Node(n, life, event));
                 }
             }
             Act::Watch(n, life) => {
