A team within its guarantee gets back what others borrow

Cause: only rank decided what was stopped, so a team within its guarantee waited for others' borrowed work.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -186,6 +186,9 @@
 pub const PREEMPT_WASTE_MS: u64 = 45_000;
 /// Milliseconds that work waits before others are stopped for it: room often comes by itself.
 pub const PREEMPT_AFTER_MS: u64 = 250;
+/// The same for work that is not urgent: what is within a guarantee is to start in some 10 s, and a
+/// stop, a start and a fetch take several.
+pub const PREEMPT_LATER_MS: u64 = 1_500;
 /// Milliseconds between two rounds of stops.
 pub const PREEMPT_GAP_MS: u64 = 500;
 /// Tasks stopped in one round: urgent jobs have up to some 60.
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -37,6 +37,8 @@
     pub set: CapabilitySet,
     pub urgency: Urgency,
     pub indices: VecDeque<u32>,
+    /// All of them fit into what is left of their team's guarantee.
+    pub within: bool,
     pub zones: PlaceRecord,
     pub at: WallMs,
 }
@@ -113,6 +115,7 @@
                 due: due(job, spec, settings, wall),
             },
             indices: indices.into(),
+            within: false,
             zones,
             at: job.at,
         });
@@ -141,6 +144,7 @@
             used.gpus += spec.need.gpus;
             allowed += 1;
         }
+        w.within = allowed == w.indices.len() && used.cpus <= team.cpus && used.gpus <= team.gpus;
         w.indices.truncate(allowed);
         if !w.indices.is_empty() {
             kept.push(w);
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -96,18 +96,26 @@
         if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
             return;
         }
-        let mut urgent = work.iter().filter(|w| w.urgency.rank.0 >= Rank::High);
-        let ripe: Vec<lookup::Waiting> = urgent
-            .clone()
-            .filter(|w| self.wall >= w.at + PREEMPT_AFTER_MS)
-            .cloned()
-            .collect();
-        if ripe.is_empty() && urgent.next().is_none() {
-            return;
+        // Urgent work is not kept waiting; other work waits a little for room to come by itself.
+        let after = |w: &lookup::Waiting| match w.urgency.rank.0 {
+            Rank::High | Rank::Production => Some(PREEMPT_AFTER_MS),
+            Rank::Normal => Some(PREEMPT_LATER_MS),
+            Rank::Low => Some(PREEMPT_LATER_MS).filter(|_| w.within),
+        };
+        let mut next = Millis::MAX;
+        let mut ripe: Vec<lookup::Waiting> = Vec::new();
+        for w in work {
+            let Some(at) = after(w).map(|ms| w.at + ms) else {
+                continue;
+            };
+            match at.checked_sub(self.wall).filter(|ms| *ms > 0) {
+                Some(ms) => next = next.min(ms),
+                None => ripe.push(w.clone()),
+            }
         }
         if ripe.is_empty() {
             // What is too fresh is looked at again soon.
-            self.lookup_at = self.lookup_at.min(self.now + PREEMPT_AFTER_MS);
+            self.lookup_at = self.lookup_at.min(self.now.saturating_add(next));
             return;
         }
         let now = self.now;
@@ -120,7 +128,7 @@
             }
         };
         let usable = |id: &str| self.recently_heard(id) && !self.condemned.contains_key(id);
-        let stops = preempt::victims(&self.cache, &self.types, &ripe, usable, age);
+        let stops = preempt::victims(&self.cache, &self.settings, &self.types, &ripe, usable, age);
         let mut draft = Draft::new(&self.cache);
         let mut chosen = Vec::new();
         for (id, task) in stops {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -1,38 +1,76 @@
-//! Preemption: which tasks of lower rank to stop so that waiting work gets room.
+//! Preemption: which tasks to stop so that waiting work gets room: those of lower rank, and, for
+//! work within its team's guarantee, what other teams run beyond theirs.
 
 use crate::claims::zone_room;
 use crate::constants::*;
 use crate::lookup::Waiting;
 use crate::model::*;
 use crate::records::*;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// A machine as it will be once the stops under way have taken effect.
 struct Coming<'a> {
     id: &'a str,
     record: &'a MachineRecord,
     room: Room,
-    victims: Vec<Victim>,
+    victims: Vec<Victim<'a>>,
 }
 
-struct Victim {
+struct Victim<'a> {
     task: TaskId,
+    team: &'a str,
     need: Room,
     rank: Rank,
+    service: bool,
     /// Milliseconds of work that stopping it wastes.
     waste: Millis,
 }
 
-/// Tasks to stop, with their machines, so that waiting work of higher rank gets started.
+/// What teams run beyond their guarantees, apart from what is being stopped.
+type Borrowed<'a> = BTreeMap<&'a str, u64>;
+
+/// For whom room is made.
+struct Claimant<'a> {
+    spec: &'a JobSpec,
+    within: bool,
+    waste: Millis,
+}
+
+impl Claimant<'_> {
+    /// Whether a task may be stopped for it, by rank or since its team gives back what it
+    /// borrowed. Services are not moved about for that: they are down meanwhile.
+    fn may_stop(&self, v: &Victim, borrowed: &Borrowed) -> bool {
+        let lent = || {
+            self.within
+                && !v.service
+                && v.team != self.spec.team
+                && borrowed
+                    .get(v.team)
+                    .is_some_and(|cpus| *cpus >= v.need.cpus)
+        };
+        v.waste <= self.waste && (v.rank < self.spec.rank || lent())
+    }
+}
+
+fn give_back(borrowed: &mut Borrowed, v: &Victim) {
+    if let Some(cpus) = borrowed.get_mut(v.team) {
+        *cpus = cpus.saturating_sub(v.need.cpus);
+    }
+}
+
+/// Tasks to stop, with their machines, so that waiting work gets started.
 /// `age` tells how long an attempt has been booked.
 pub fn victims(
     cache: &Cache,
+    settings: &Settings,
     types: &HashMap<String, MachineType>,
     work: &[Waiting],
     usable: impl Fn(&str) -> bool,
     age: impl Fn(u64) -> Millis,
 ) -> Vec<(String, TaskId)> {
     let mut machines: Vec<Coming> = Vec::new();
+    let mut borrowed = Borrowed::new();
+    let mut lowest = Rank::Production;
     for (id, m, _) in cache.machines() {
         let Some(kind) = types
             .get(&m.type_name)
@@ -46,10 +84,14 @@
             staying = staying.plus(&p.need);
             if let Some(spec) = cache.open_job(&task.job) {
                 let saved = spec.checkpoint_s > 0.0;
+                *borrowed.entry(&spec.team).or_default() += p.need.cpus;
+                lowest = lowest.min(spec.rank);
                 victims.push(Victim {
                     task: task.clone(),
+                    team: &spec.team,
                     need: p.need,
                     rank: spec.rank,
+                    service: spec.shape == Shape::Service,
                     waste: if saved { 0 } else { age(p.booking.attempt) },
                 });
             }
@@ -62,11 +104,27 @@
             victims,
         });
     }
+    for (name, cpus) in &mut borrowed {
+        let guarantee = settings.teams.get(*name).map_or(0, |t| t.cpus);
+        *cpus = cpus.saturating_sub(guarantee);
+    }
     let mut stops = Vec::new();
     for w in work {
         let Some(spec) = cache.open_job(&w.job) else {
             continue;
         };
+        let lent = w.within && borrowed.values().any(|cpus| *cpus > 0);
+        if lowest >= spec.rank && !lent {
+            continue;
+        }
+        let claimant = Claimant {
+            spec,
+            within: w.within,
+            waste: match spec.rank {
+                Rank::Production => Millis::MAX,
+                _ => PREEMPT_WASTE_MS,
+            },
+        };
         let mut zones = w.zones.clone();
         for _ in 0..w.indices.len().min(PREEMPT_TASKS) {
             let fits = |m: &Coming| {
@@ -82,19 +140,15 @@
                 *zones.zones.entry(m.record.zone.clone()).or_default() += 1;
                 continue;
             }
-            if spec.rank < Rank::High || stops.len() >= PREEMPT_TASKS {
+            if stops.len() >= PREEMPT_TASKS {
                 break;
             }
-            let limit = match spec.rank {
-                Rank::Production => Millis::MAX,
-                _ => PREEMPT_WASTE_MS,
-            };
             let best = machines
                 .iter()
                 .enumerate()
                 .filter(|(_, m)| fits(m))
                 .filter_map(|(i, m)| {
-                    let (count, waste) = enough(m, spec, limit)?;
+                    let (count, waste) = enough(m, &claimant, &borrowed)?;
                     Some((!cache.has_image(m.id, &spec.image), waste, count, i))
                 })
                 .min();
@@ -103,8 +157,9 @@
             let mut taken = 0;
             let mut kept = Vec::new();
             for v in std::mem::take(&mut m.victims) {
-                if taken < count && v.rank < spec.rank && v.waste <= limit {
+                if taken < count && claimant.may_stop(&v, &borrowed) {
                     taken += 1;
+                    give_back(&mut borrowed, &v);
                     m.room = m.room.plus(&v.need);
                     stops.push((m.id.to_string(), v.task));
                 } else {
@@ -120,18 +175,23 @@
 }
 
 /// How many victims, the least wasteful first, make enough room, and what that wastes.
-fn enough(m: &Coming, spec: &JobSpec, limit: Millis) -> Option<(usize, Millis)> {
+fn enough(m: &Coming, claimant: &Claimant, borrowed: &Borrowed) -> Option<(usize, Millis)> {
     let mut room = m.room;
     let mut waste: Millis = 0;
-    let fair = m
-        .victims
-        .iter()
-        .filter(|v| v.rank < spec.rank && v.waste <= limit);
-    for (n, v) in fair.enumerate() {
+    let mut count = 0;
+    let mut borrowed = std::borrow::Cow::Borrowed(borrowed);
+    for v in &m.victims {
+        if !claimant.may_stop(v, &borrowed) {
+            continue;
+        }
+        if borrowed.contains_key(v.team) {
+            give_back(borrowed.to_mut(), v);
+        }
         room = room.plus(&v.need);
         waste = waste.saturating_add(v.waste);
-        if room.fits(&spec.need) {
-            return Some((n + 1, waste));
+        count += 1;
+        if room.fits(&claimant.spec.need) {
+            return Some((count, waste));
         }
     }
     None
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -953,6 +953,38 @@
     }
 }
 
+/// A guest fills the site with work beyond its guarantee; a team within its own does not wait for
+/// it, nor is more of it stopped than that takes, nor does a guest stop anybody's.
+#[test]
+fn a_team_within_its_guarantee_gets_back_what_others_borrow() {
+    let mut w = kept(67, 3, 4);
+    w.capacity = 0;
+    w.run_ms = 40_000;
+    w.settings.teams.get_mut("red").unwrap().cpus = 0;
+    for slot in &mut w.nodes {
+        slot.node.as_mut().unwrap().settings.teams = w.settings.teams.clone();
+    }
+    w.submit(0, job("j-1", 8));
+    w.until(8_000, "all machines are full", |w| w.running("j-1") == 8);
+    let mut own = job("j-2", 3);
+    own.team = "blue".into();
+    w.submit(1, own);
+    w.until(9_000, "runs", |w| w.running("j-2") == 3);
+    assert_eq!(w.running("j-1"), 5, "no more are stopped than needed");
+    w.submit(2, job("j-3", 2));
+    w.run(6_000);
+    assert_eq!(w.running("j-2"), 3, "a guest stops nobody");
+    let mut more = job("j-4", 2);
+    more.team = "blue".into();
+    w.submit(2, more);
+    w.run(6_000);
+    assert_eq!(w.running("j-4"), 0, "beyond its guarantee it waits");
+    w.until(200_000, "all done", |w| {
+        (1..5).all(|i| done(w, &format!("j-{i}")))
+    });
+    w.check_records();
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
