An attempt that ended with its lease is never started again

Cause: a start proven gone by a newer session could be armed again in a held check-in's answer while the proof waited to be recorded; recorded then, the task went to a second machine too (ran_twice). Two bars: no arming across sessions, and proofs that name the start they are about.

--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -3,6 +3,7 @@
 //! A transaction is only drafted when it can go at once. One that waited in line for its turn
 //! would meet records that have changed meanwhile, fail, and cost its changes all the same.
 
+use crate::constants::WRITES_LEAST;
 use crate::model::Millis;
 
 pub struct Allowance {
@@ -15,7 +16,8 @@
 impl Allowance {
     /// `burst_s`: seconds' worth that may go at once.
     pub fn new(per_s: f64, burst_s: f64, now: Millis) -> Allowance {
-        let most = (per_s * burst_s).max(1.0);
+        // However low the rate, it fills far enough for the least that is drafted.
+        let most = (per_s * burst_s).max(2.0 * WRITES_LEAST as f64);
         Allowance {
             per_ms: per_s / 1000.0,
             most,
@@ -32,6 +34,11 @@
         self.level.max(0.0) as usize
     }
 
+    /// Changes that it holds when full.
+    pub fn most(&self) -> usize {
+        self.most as usize
+    }
+
     /// What must go at once may overdraw it.
     pub fn take(&mut self, n: usize) {
         self.level -= n as f64;
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -54,6 +54,10 @@
 pub const WRITE_BURST_S: f64 = 0.9;
 /// Changes that must be left to a node for a flush or a claim to be drafted.
 pub const WRITES_LEAST: usize = 4;
+/// Results that wait to be recorded from which transactions are gathered until ...
+pub const BACKLOG_RESULTS: usize = 40;
+/// ... so many changes may go at once.
+pub const WRITES_BATCH: usize = 12;
 /// Milliseconds after which a result is recorded before others that would share a change: users
 /// expect `done` within 3 s.
 pub const RESULT_PATIENCE_MS: u64 = 1_200;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -8,6 +8,7 @@
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
+use crate::results::{Ended, Travel};
 use rand::seq::SliceRandom;
 use std::collections::{BTreeMap, HashMap};
 
@@ -173,7 +174,7 @@
         let reported: HashMap<(&TaskId, u64), TaskPhase> = (report.tasks.iter())
             .map(|t| ((&t.task, t.attempt), t.phase))
             .collect();
-        let mut ended: Vec<((TaskId, u64), Outcome)> = Vec::new();
+        let mut ended: Vec<((TaskId, u64), Outcome, Option<Travel>)> = Vec::new();
         let mut saves: Vec<(TaskId, u64)> = Vec::new();
         let mut above = None;
         let mut arm = false;
@@ -183,10 +184,7 @@
             let wanted = b.stop.is_none() && spec.is_some();
             let phase = reported.get(&(task, b.attempt)).copied();
             let barred = barred(b, mark, report.token);
-            let newer_session = b
-                .armed
-                .or(b.direct)
-                .is_some_and(|(session, _)| session < mark.0);
+            let newer_session = outlived(b, mark);
             let outcome = match phase {
                 Some(TaskPhase::Exited(cause)) => Some(match cause {
                     Cause::Done => Outcome::Done,
@@ -209,7 +207,8 @@
                 }
             }
             if let Some(outcome) = outcome {
-                ended.push((key, outcome));
+                let rests_on = phase.is_none().then_some((b.armed, b.direct));
+                ended.push((key, outcome, rests_on));
             } else if phase == Some(TaskPhase::Running)
                 && report.notice_s.is_some()
                 && b.stop.is_none()
@@ -230,9 +229,18 @@
                 above = above.max(b.direct.map(|(_, token)| token));
             }
         }
-        for (key, outcome) in ended {
+        for (key, outcome, rests_on) in ended {
             self.stats.results += u64::from(!self.results.contains_key(&key));
-            self.results.entry(key).or_insert((outcome, self.now));
+            let at = self.now;
+            let fresh = Ended {
+                outcome,
+                at,
+                rests_on,
+            };
+            let known = self.results.entry(key).or_insert(fresh);
+            if known.rests_on.is_some() {
+                (known.outcome, known.rests_on) = (outcome, rests_on);
+            }
         }
         self.saves.extend(saves);
         let seen = Seen {
@@ -299,6 +307,9 @@
                     && b.stop.is_none()
                     && self.cache.open_job(&task.job).is_some()
                     && !shown(task, b.attempt)
+                    // What was started in an earlier session is gone, and on its way to be
+                    // recorded as such: it must not be started once more under that attempt.
+                    && !outlived(b, mark)
                     && barred(b, mark, held.report.token)
             })
             .map(|(task, p)| (task.clone(), p.booking.attempt))
@@ -835,6 +846,12 @@
     }
 }
 
+/// A check-in of a newer session than the one that the booking's start was for.
+fn outlived(b: &Booking, mark: (u64, u64)) -> bool {
+    let session = b.armed.or(b.direct).map(|(session, _)| session);
+    session.is_some_and(|session| session < mark.0)
+}
+
 /// The start of a booking can't arrive any more, if it is not there already. Of a newer
 /// session the worker has killed and forgotten everything older; a check-in after the one
 /// whose answer carried the start shows that the answer brought nothing; a token above the
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,12 +1,12 @@
 //! One controller node: takes events, keeps the copy of the records, and emits effects.
 
 use crate::allowance::Allowance;
-use crate::claims::Outcome;
 use crate::constants::*;
 use crate::jobs::Ask;
 use crate::machines::{Held, Seen};
 use crate::model::*;
 use crate::records::*;
+use crate::results::Ended;
 use crate::stats::Stats;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -337,7 +337,7 @@
     pub(crate) troubles: BTreeMap<&'static str, Millis>,
     pub(crate) gone: Gone,
     // What waits to be recorded: see `results`
-    pub(crate) results: BTreeMap<(TaskId, u64), (Outcome, Millis)>,
+    pub(crate) results: BTreeMap<(TaskId, u64), Ended>,
     /// Tasks to be stopped so that they save, since their machine is about to be taken.
     pub(crate) saves: BTreeSet<(TaskId, u64)>,
     pub(crate) seen: BTreeMap<String, Seen>,
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -25,7 +25,7 @@
             return;
         }
         let left = self.writes_left();
-        if left < WRITES_LEAST {
+        if left < self.writes_least() {
             return;
         }
         self.lookup_next = false;
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -11,6 +11,19 @@
 use crate::records::*;
 use std::collections::BTreeMap;
 
+/// How a booking's start travels: what it is armed for, or the direct command.
+pub(crate) type Travel = (Option<(u64, u64)>, Option<(u64, u64)>);
+
+/// What became of an attempt, until that is recorded.
+#[derive(Clone, Debug)]
+pub(crate) struct Ended {
+    pub outcome: Outcome,
+    pub at: Millis,
+    /// The proof is that this start never arrived, or is over with its session. Should the same
+    /// attempt's start be sent anew by another node meanwhile, it proves nothing any more.
+    pub rests_on: Option<Travel>,
+}
+
 impl Node {
     /// Records what is waiting for it, in order of what others wait for most: results, starts
     /// that a held check-in's answer shall carry, machines.
@@ -24,13 +37,15 @@
             return;
         }
         let left = self.writes_left();
-        if left < WRITES_LEAST || self.lookup_next && self.lookup_due() {
+        if left < self.writes_least() || self.lookup_next && self.lookup_due() {
             return;
         }
         self.take_deleted();
         let cache = &self.cache;
-        self.results
-            .retain(|(task, at), _| cache.attempt(task, *at).is_some());
+        self.results.retain(|(task, at), ended| {
+            let booking = cache.attempt(task, *at);
+            booking.is_some_and(|b| ended.rests_on.is_none_or(|t| t == (b.armed, b.direct)))
+        });
         self.saves.retain(|(task, at)| {
             let booking = cache.attempt(task, *at);
             booking.is_some_and(|b| b.stop.is_none())
@@ -132,6 +147,15 @@
         self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
     }
 
+    /// Changes that must be left for the next transaction: more while much waits to be recorded.
+    /// Results that share a chunk, and claims that share a team's record, then share their puts.
+    pub(crate) fn writes_least(&self) -> usize {
+        match self.results.len() > BACKLOG_RESULTS {
+            true => WRITES_BATCH.min(self.flush_ops).min(self.writes.most()),
+            false => WRITES_LEAST,
+        }
+    }
+
     /// Results in the order in which they are recorded: those of services, which are down until
     /// then; what has waited long; then those that share a chunk with most others, since a chunk
     /// costs one change however many they are.
@@ -141,7 +165,7 @@
             job.map_or(task.index, |j| j.chunk_of(task.index))
         };
         let mut chunks: BTreeMap<(&str, u32), (usize, Millis)> = BTreeMap::new();
-        for ((task, _), (_, at)) in &self.results {
+        for ((task, _), Ended { at, .. }) in &self.results {
             let (count, first) = chunks
                 .entry((&task.job, chunk_of(task)))
                 .or_insert((0, *at));
@@ -149,7 +173,7 @@
             *first = (*first).min(*at);
         }
         let mut turn: Vec<_> = (self.results.iter())
-            .map(|((task, attempt), (outcome, _))| {
+            .map(|((task, attempt), Ended { outcome, .. })| {
                 let chunk = (task.job.as_str(), chunk_of(task));
                 let (count, first) = chunks[&chunk];
                 let patient = self.now < first + RESULT_PATIENCE_MS;
@@ -198,7 +222,14 @@
         for id in &self.deleted {
             for (task, p) in self.cache.bookings(id) {
                 let key = (task.clone(), p.booking.attempt);
-                self.results.entry(key).or_insert((Outcome::Gone, self.now));
+                // Stronger than what may wait there: it holds however the start travels.
+                let ended = Ended {
+                    outcome: Outcome::Gone,
+                    at: self.now,
+                    rests_on: None,
+                };
+                let known = self.results.entry(key).or_insert(ended);
+                known.rests_on = None;
             }
         }
     }
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -985,6 +985,52 @@
     w.check_records();
 }
 
+/// Jobs started twice on machines with many tasks: of two starts that a lapsed lease had ended, one
+/// was sent again in the answer to a check-in, under the same attempt, while the proof that it was
+/// gone still waited to be recorded; then the task was given to another machine as well.
+#[test]
+fn what_ended_with_its_lease_is_not_started_again_as_the_same_attempt() {
+    for seed in 0..6 {
+        let mut w = World::new(80 + seed, 3, 60);
+        w.settings.idle_return_ms = 3_600_000;
+        w.run(5_000);
+        for i in 0..30 {
+            w.submit(i % 3, service(&format!("j-{i}"), 4));
+            w.run(200);
+        }
+        let up = |w: &World| (0..30).all(|i| w.running(&format!("j-{i}")) == 4);
+        w.until(40_000, "up", up);
+        // Few changes a second: proofs wait long.
+        w.settings.write_rps = 4.0;
+        for n in 0..3 {
+            w.crash(n, 13_000);
+        }
+        w.run(13_000);
+        w.until(90_000, "up again", up);
+    }
+}
+
+/// All controllers were down for longer than leases last: what is lost is recorded and claimed anew
+/// in large transactions, since the state service's changes are what its return waits for.
+#[test]
+fn what_was_lost_with_all_leases_comes_back_with_few_changes() {
+    let mut w = kept(68, 3, 200);
+    for i in 0..60 {
+        w.submit(i % 3, service(&format!("j-{i}"), 5));
+        w.run(300);
+    }
+    let up = |w: &World| (0..60).all(|i| w.running(&format!("j-{i}")) == 5);
+    w.until(60_000, "up", up);
+    for n in 0..3 {
+        w.crash(n, 13_000);
+    }
+    w.run(13_000);
+    let before = w.changes;
+    w.until(60_000, "up again", up);
+    let changes = w.changes - before;
+    assert!(changes < 330, "{changes} changes for 300 tasks");
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
