Jobs with a mistake make no machine look sick and get one task at a time

Cause: two different jobs failing on a machine marked it sick, and 4 in 100 jobs fail on every machine. Failures now count only of jobs that are not suspect (failed on three machines, no success anywhere, or cancelled).

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -256,13 +256,23 @@
     };
     if heals {
         machine.faults.clear();
-    } else if machine.faults.len() < SICK_JOBS && !machine.faults.iter().any(|j| j == job) {
-        machine.faults.push(job.to_string());
-        if machine.faults.len() >= SICK_JOBS && machine.phase == MachinePhase::Up {
+    } else {
+        // Jobs submitted with a mistake fail everywhere: two of them say nothing of a machine.
+        let known = machine.faults.iter().any(|j| j == job);
+        if !known {
+            if machine.faults.len() >= FAULTS_KEPT {
+                machine.faults.remove(0);
+            }
+            machine.faults.push(job.to_string());
+        }
+        let telling = |j: &&String| !draft.suspect(j);
+        let sick = machine.faults.iter().filter(telling).count() >= SICK_JOBS;
+        if known && !sick {
+            return;
+        }
+        if sick && machine.phase == MachinePhase::Up {
             machine.phase = MachinePhase::Draining;
         }
-    } else {
-        return;
     }
     draft.put(
         Key::Machine(machine_id.to_string()),
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -210,12 +210,14 @@
 
 /// Different jobs that fail on a machine, with no success between, before it counts as sick.
 pub const SICK_JOBS: usize = 2;
+/// Jobs that failed on a machine which its record names: some may turn out to be at fault.
+pub const FAULTS_KEPT: usize = 6;
 /// Different machines on which a job's tasks fail before the job itself counts as faulty.
 pub const FAULTY_MACHINES: usize = 3;
 /// First pause, in milliseconds, of a task that failed; doubled with each further failure.
 pub const FAIL_PAUSE_MS: u64 = 1_000;
-/// Longest such pause in milliseconds.
-pub const FAIL_PAUSE_MAX_MS: u64 = 30_000;
+/// Longest such pause in milliseconds: a job that failed everywhere is tried with one task only.
+pub const FAIL_PAUSE_MAX_MS: u64 = 20_000;
 
 /// Milliseconds between two rounds of forgetting what is known of machines that are gone.
 pub const FORGET_MS: u64 = 10_000;
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -37,6 +37,10 @@
     pub set: CapabilitySet,
     pub urgency: Urgency,
     pub indices: VecDeque<u32>,
+    /// Machines on which tasks of it failed: others come first.
+    pub avoid: Vec<String>,
+    /// It has failed wherever it was tried: one task at a time, for which nothing is rented.
+    pub suspect: bool,
     /// All of them fit into what is left of their team's guarantee.
     pub within: bool,
     pub zones: PlaceRecord,
@@ -63,6 +67,7 @@
     let mut found: Vec<Waiting> = Vec::new();
     for (id, job, spec) in cache.waiting_jobs() {
         let mut indices = Vec::new();
+        let mut avoid: Vec<String> = Vec::new();
         let mut looked = 0;
         for n in 0..job.chunks() {
             if looked >= LOOKUP_CHUNKS {
@@ -73,6 +78,7 @@
                     if chunk.pause_until > wall {
                         continue;
                     }
+                    avoid.extend(chunk.failed_on.iter().cloned());
                     let before = indices.len();
                     indices.extend(
                         chunk
@@ -91,6 +97,10 @@
                 }
             }
         }
+        let suspect = cache.suspect(id);
+        if suspect {
+            indices.truncate(usize::from(cache.counts(id).booked == 0));
+        }
         if indices.is_empty() {
             continue;
         }
@@ -115,6 +125,8 @@
                 due: due(job, spec, settings, wall),
             },
             indices: indices.into(),
+            avoid,
+            suspect,
             within: false,
             zones,
             at: job.at,
@@ -324,18 +336,20 @@
         let has_image = |machine: &Candidate| {
             image.is_some_and(|image| machine.images.iter().any(|(i, _)| *i == image))
         };
-        let mut best: Vec<(Grade, usize)> = Vec::new();
+        let mut best: Vec<(bool, Grade, usize)> = Vec::new();
         for (m, machine) in machines.iter().enumerate() {
             let record = machine.record;
             if machine.room.fits(&waiting.set.need)
-                && (!warm || has_image(machine))
+                && (!warm || has_image(machine) && !waiting.avoid.iter().any(|id| id == machine.id))
                 && spec.allows(&record.type_name, &record.zone, record.spot)
             {
-                best.push((self.grade(machine, record, spec, warm), m));
+                // A machine at fault is soon free again, and would draw all that waits.
+                let avoided = waiting.avoid.iter().any(|id| id == machine.id);
+                best.push((avoided, self.grade(machine, record, spec, warm), m));
             }
         }
         best.sort();
-        for (_, m) in best {
+        for (_, _, m) in best {
             let machine = &mut machines[m];
             let record = machine.record;
             let before = placement.claimed.len();
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -85,7 +85,7 @@
             self.commit(plan.txn, Purpose::Lookup(plan.claimed), Priority::Claim);
         }
         if !full {
-            work.retain(|w| !w.indices.is_empty());
+            work.retain(|w| !w.indices.is_empty() && !w.suspect);
             self.preempt(&work);
             self.rent(&work);
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -574,6 +574,12 @@
         let chunks = self.chunks.get(job).into_iter().flatten();
         chunks.map(|(n, (c, _))| (*n, c))
     }
+    /// Whether a job seems to have been submitted with a mistake: it has failed on several machines
+    /// and nothing of it has ever succeeded.
+    pub fn suspect(&self, job: &str) -> bool {
+        let failed = |c: &ChunkRecord| c.failed_on.len() >= FAULTY_MACHINES;
+        self.counts(job).done == 0 && self.chunks_of(job).any(|(_, c)| failed(c))
+    }
     /// Jobs with chunks on record, open or not, and how far they are.
     pub fn counted(&self) -> impl Iterator<Item = (&str, Counts)> {
         self.counts.iter().map(|(id, c)| (id.as_str(), *c))
@@ -936,6 +942,24 @@
             _ => self.cache.fleet(),
         }
     }
+    /// Whether a job's failures say nothing of machines. Of a cancelled one it is not known.
+    pub fn suspect(&self, job: &str) -> bool {
+        let Some(record) = self.cache.job(job) else {
+            return true;
+        };
+        let drafted = |(key, change): (&Key, &Option<Record>)| match (key, change) {
+            (Key::Chunk(id, _), Some(Record::Chunk(c))) if id == job => Some(c.clone()),
+            _ => None,
+        };
+        let chunks: Vec<ChunkRecord> = self.changes.iter().filter_map(drafted).collect();
+        let fails = chunks.iter().any(|c| c.failed_on.len() >= FAULTY_MACHINES);
+        let succeeds = self.cache.counts(job).done > 0 || chunks.iter().any(|c| c.done() > 0);
+        match record.phase {
+            Phase::Done => false,
+            Phase::Cancelled => true,
+            Phase::Open => !succeeds && (fails || self.cache.suspect(job)),
+        }
+    }
     /// A chunk as this draft sees it; none if it is neither on record nor drafted.
     pub fn chunk(&self, job: &str, n: u32) -> Option<&ChunkRecord> {
         match self.changes.get(&Key::Chunk(job.to_string(), n)) {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1031,6 +1031,39 @@
     assert!(changes < 330, "{changes} changes for 300 tasks");
 }
 
+/// Jobs submitted with a mistake fail everywhere until they are cancelled. They must not make
+/// healthy machines look sick, nor take the room of others; nor must a job be taken for one that
+/// only met sick machines.
+#[test]
+fn jobs_with_a_mistake_ruin_no_machines_and_starve_nobody() {
+    let mut w = kept(69, 3, 8);
+    w.capacity = 0;
+    for id in ["j-1", "j-2", "j-3"] {
+        w.mistaken.insert(id.into());
+        w.submit(0, job(id, 6));
+        w.run(1_500);
+    }
+    w.run(40_000);
+    let (starts, rented) = (w.starts, w.rented);
+    w.run(40_000);
+    assert!(w.starts < starts + 20, "{} more", w.starts - starts);
+    assert_eq!(w.rented, rented, "nothing is rented for them");
+    assert!(w.deleted.is_empty(), "{:?}", w.deleted);
+    w.submit(1, job("j-4", 12));
+    w.until(20_000, "others run", |w| done(w, "j-4"));
+    for id in ["j-1", "j-2", "j-3"] {
+        assert_eq!(w.job_phase(id), Some(Phase::Open));
+        let r = w.cancel(2, id);
+        assert!(matches!(w.answer(r), UserReply::Cancelled { .. }));
+    }
+    for name in ["n-000000", "n-000001", "n-000002"] {
+        w.workers.get_mut(name).unwrap().fails_all = true;
+    }
+    w.submit(0, job("j-5", 16));
+    w.until(60_000, "done", |w| done(w, "j-5"));
+    w.check_records();
+}
+
 /// Everything at once, by chance: the rules are checked at every step.
 #[test]
 fn random_mishaps_break_no_rule() {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -142,6 +142,8 @@
     pub told: BTreeMap<String, Told>,
     pub done_tasks: BTreeSet<TaskId>,
     pub run_ms: u64,
+    /// Jobs submitted with a mistake: they fail on every machine.
+    pub mistaken: BTreeSet<String>,
     pub answers: BTreeMap<RequestId, UserReply>,
     asked: HashMap<RequestId, (usize, String)>,
     checkins: HashMap<(usize, u32, RequestId), (String, u64, u64)>,
@@ -263,6 +265,7 @@
             told: BTreeMap::new(),
             done_tasks: BTreeSet::new(),
             run_ms: 5_000,
+            mistaken: BTreeSet::new(),
             answers: BTreeMap::new(),
             asked: HashMap::new(),
             checkins: HashMap::new(),
@@ -958,7 +961,7 @@
                     return;
                 };
                 let run_ms = self.run_ms;
-                let fails = w.fails_all;
+                let fails = w.fails_all || self.mistaken.contains(&task.job);
                 if !w.alive {
                     return;
                 }
