--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -129,7 +129,7 @@
             chunk: CHUNK_TASKS.min(by_value),
             at: self.wall,
             ended: 0,
-            spec: Some(*spec),
+            spec: Some(spec),
         };
         let mut draft = Draft::new(&self.cache);
         draft.put(Key::Job(ask.job), Record::Job(record));
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -101,14 +101,14 @@
     /// Time of day at which it was done or cancelled; 0 before.
     #[serde(default)]
     pub ended: WallMs,
-    /// Dropped once the job is over.
-    pub spec: Option<JobSpec>,
+    /// Dropped once the job is over. Apart, so that the many that are over take little room.
+    pub spec: Option<Box<JobSpec>>,
 }
 
 impl JobRecord {
     pub fn open(&self) -> Option<&JobSpec> {
         match self.phase {
-            Phase::Open => self.spec.as_ref(),
+            Phase::Open => self.spec.as_deref(),
             _ => None,
         }
     }
