--- a/crates/core/src/allowance.rs
+++ b/crates/core/src/allowance.rs
@@ -26,6 +26,16 @@
         }
     }
 
+    /// From now on it fills no faster than this.
+    pub fn slow_down(&mut self, per_s: f64) {
+        let part = per_s / 1000.0 / self.per_ms;
+        if part < 1.0 {
+            self.per_ms *= part;
+            self.most = (self.most * part).max(2.0 * WRITES_LEAST as f64);
+            self.level = self.level.min(0.0);
+        }
+    }
+
     /// Changes that may be sent now, when the bucket has been filling `times` as fast as usual.
     pub fn left(&mut self, now: Millis, times: f64) -> usize {
         let passed = now.saturating_sub(self.at) as f64;
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -6,18 +6,23 @@
 //! claim writes: what is in use is then known exactly, since no other claim came between.
 
 use crate::constants::*;
+use crate::formats;
 use crate::model::*;
 use crate::records::*;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     JobOver,
+    /// A job that it awaits is not done.
+    Blocked,
     TaskTaken,
     MachineBusy,
     WrongPlace,
     TeamLimit,
     Paused,
-    /// The transaction, or the chunk's value, holds no more.
+    /// The chunk's value holds no more bookings.
+    ChunkFull,
+    /// The transaction holds no more.
     Full,
 }
 
@@ -99,7 +104,13 @@
     let cache = draft.cache;
     let job = cache.job(&task.job).ok_or(Refusal::JobOver)?;
     let spec = job.open().ok_or(Refusal::JobOver)?;
+    if cache.blocked(&task.job) {
+        return Err(Refusal::Blocked);
+    }
     let n = job.chunk_of(task.index);
+    if cache.barred(&Key::Chunk(task.job.clone(), n)) {
+        return Err(Refusal::ChunkFull);
+    }
     if let Some(chunk) = draft.chunk(&task.job, n) {
         let slot = (task.index % job.chunk.max(1)) as usize;
         if chunk.tasks.get(slot) != Some(&TaskState::Waiting) {
@@ -108,8 +119,8 @@
         if chunk.pause_until > wall {
             return Err(Refusal::Paused);
         }
-        if chunk.size() + BOOKING_BYTES + machine_id.len() > settings.value_bytes as usize {
-            return Err(Refusal::Full);
+        if !formats::takes_one_more(chunk, machine_id, cache.format(), settings.value_bytes) {
+            return Err(Refusal::ChunkFull);
         }
     }
     let machine = cache.machine(machine_id).ok_or(Refusal::MachineBusy)?;
@@ -135,15 +146,18 @@
         return Err(Refusal::TeamLimit);
     }
     let booking_bytes = BOOKING_BYTES + machine_id.len();
+    let limited = team.cpus_max > 0 || team.gpus_max > 0;
     let fits = match draft.touches(&Key::Chunk(task.job.clone(), n)) {
         true => draft.has_room(settings, 0, 1, booking_bytes),
         // With the records of its team and places, which may be new to the draft as well.
         false => {
+            let team = limited && !draft.touches(&Key::Team(spec.team.clone()));
+            let place = counts_places(spec, job) && !draft.touches(&Key::Place(task.job.clone()));
             let chunk = draft.chunk(&task.job, n).map_or(0, |c| c.size());
             let fresh = CHUNK_BASE_BYTES + job.chunk as usize * 4;
             draft.has_room(
                 settings,
-                3,
+                1 + usize::from(team) + usize::from(place),
                 5,
                 chunk.max(fresh) + 2 * SMALL_RECORD_BYTES + booking_bytes,
             )
@@ -174,7 +188,7 @@
     });
     draft.grow(booking_bytes);
     draft.use_more(&spec.team, &spec.need);
-    if team.cpus_max > 0 || team.gpus_max > 0 {
+    if limited {
         let usage = draft.usage(&spec.team);
         draft.put(Key::Team(spec.team.clone()), Record::Team(usage));
     }
@@ -185,8 +199,33 @@
     Ok(())
 }
 
+/// Most changes that a release adds to a draft.
+pub fn release_changes(draft: &Draft, task: &TaskId, outcome: Outcome) -> usize {
+    let Some(job) = draft.cache.job(&task.job) else {
+        return 0;
+    };
+    let n = job.chunk_of(task.index);
+    let booking = draft
+        .chunk(&task.job, n)
+        .and_then(|c| c.booking(task.index));
+    let Some(machine) = booking.map(|b| b.machine.clone()) else {
+        return 0;
+    };
+    let faults = draft.cache.machine(&machine).map_or(0, |m| m.faults.len());
+    let health = match outcome {
+        Outcome::Failed => true,
+        Outcome::Done => faults > 0,
+        _ => false,
+    };
+    let new = |key: Key| usize::from(!draft.touches(&key));
+    let ends = outcome == Outcome::Done && job.chunks() == 1;
+    new(Key::Chunk(task.job.clone(), n))
+        + usize::from(ends) * new(Key::Job(task.job.clone()))
+        + usize::from(health) * new(Key::Machine(machine))
+}
+
 /// Ends the booking of an attempt that is proven gone. The caller holds the proof.
-/// At most three records are changed by it.
+/// `release_changes` says how many records are changed by it.
 pub fn release(draft: &mut Draft, task: &TaskId, attempt: u64, outcome: Outcome, wall: WallMs) {
     let cache = draft.cache;
     let Some(job) = cache.job(&task.job) else {
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -31,6 +31,20 @@
 pub const BOOKING_BYTES: usize = 60;
 /// Bytes of a chunk's record apart from its tasks and names.
 pub const CHUNK_BASE_BYTES: usize = 120;
+/// Bytes reserved per task of a compact chunk when the value limit sets the chunk's size: a
+/// booking takes 8 to 12, and 10 more once it is armed anew and to be stopped.
+pub const COMPACT_TASK_BYTES: u64 = 20;
+/// Bytes of a compact booking apart from its machine's name: its attempt, its start, and what
+/// other names grow by when it shortens what all have in common is left to the spare bytes.
+pub const COMPACT_BOOKING_BYTES: usize = 24;
+/// Bytes by which a compact booking grows when it is armed anew and gets a reason to stop.
+pub const COMPACT_EDIT_BYTES: usize = 10;
+/// Bytes added to a value's length as written here, should the state service count some spaces.
+pub const VALUE_SPARE_BYTES: usize = 48;
+/// Records remembered as too large for the state service.
+pub const BARRED_KEPT: usize = 1_000;
+/// Bytes of a machine's name, as far as a rental's record allows for it: known ones take 8.
+pub const MACHINE_NAME_BYTES: u64 = 24;
 /// Bytes of any other record in a transaction, its key included.
 pub const SMALL_RECORD_BYTES: usize = 900;
 /// Bytes of a key in a transaction.
@@ -43,6 +57,11 @@
 pub const IMAGES_KNOWN: usize = 20_000;
 /// Bytes that a transaction may have in all (64 KiB by protocol), less some room.
 pub const TXN_BYTES: usize = 60_000;
+/// Changes per transaction that the state service must allow: a claim writes the chunk, the team's
+/// record and the places of the job.
+pub const TXN_OPS_LEAST: u32 = 3;
+/// KiB per value that it must allow: a job with the longest names takes some 1,100 bytes.
+pub const VALUE_KB_LEAST: f64 = 1.5;
 /// Conditions allowed per put of a transaction, by protocol.
 pub const CONDITIONS_PER_OP: usize = 4;
 
@@ -69,6 +88,12 @@
 pub const SUBMIT_PATIENCE_MS: u64 = 3_500;
 /// The same for status requests, which users give up on after 2 s.
 pub const STATUS_PATIENCE_MS: u64 = 1_500;
+/// Seconds told to a user whose job awaits others while a rolling upgrade is under way: a node
+/// takes some seconds to come back.
+pub const UPGRADE_RETRY_AFTER_S: u32 = 5;
+/// Milliseconds after which other nodes cancel what needs a cancelled job, should the one that
+/// was asked not have done so.
+pub const CASCADE_PATIENCE_MS: u64 = 1_500;
 /// Seconds told to a user in `Retry-After` when the service can't decide.
 pub const RETRY_AFTER_S: u32 = 1;
 /// The same while the state service does not answer: outages last longer than that.
@@ -140,6 +165,9 @@
 /// Milliseconds a directly commanded start may be missing from check-ins before its token is
 /// raised: commands usually take a few milliseconds, and a claim's news a few more.
 pub const MISSING_MS: u64 = 1_000;
+/// A session that no worker has, since they count from 1: a command for it is refused, which is an
+/// answer.
+pub const NO_SESSION: u64 = 0;
 /// Milliseconds that starts go by check-ins after a direct command failed.
 pub const COMMAND_PAUSE_MS: u64 = 8_000;
 /// Milliseconds that the answer to a direct command is waited for.
--- /dev/null
+++ b/crates/core/src/formats.rs
@@ -0,0 +1,272 @@
+//! Versions of what nodes store, so that two versions of the program serve on the same data.
+//!
+//! Each node records the latest format that it reads under `g/format/NODE`. What an older one
+//! would not read, or would drop when it writes a record anew, is written only in a format that
+//! every member named by the settings has on record. Beats and silence prove nothing here: a
+//! node that ends before it is upgraded comes back old. A node is upgraded once, so the common
+//! format never falls.
+//!
+//! | format | what came with it | when what it replaced may be dropped |
+//! |---|---|---|
+//! | 1 | records as JSON objects throughout | once no site has chunks from before format 2: every chunk is gone with its job's last booking, so a day after an upgrade |
+//! | 2 | compact chunks; jobs that await others (`awaits`) | |
+//!
+//! A compact chunk writes its tasks as words: `=N` tasks wait, `+N` are done, and a booking is
+//! `MACHINE:ATTEMPT[:START][!STOP][*N]`. The machine's name lacks what all have in common, the
+//! attempt is counted from the lowest, in base 36. START is left out if it is the usual one of
+//! the chunk, `n` for none, `sSESSION.TALLY` for a check-in's answer, `dSESSION.TOKEN` for a
+//! direct command. STOP is the number of a reason, and N repeats the word for tasks that follow.
+//! A task takes some 8 bytes so instead of some 45, and a hundred of them fit into 2 KiB.
+
+use crate::constants::*;
+use crate::model::*;
+use crate::records::*;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+/// The format of a version that records none.
+pub const OLDEST: u32 = 1;
+/// From this one on chunks are compact and jobs may await others.
+pub const PIPELINES: u32 = 2;
+/// The latest format that this version reads and writes.
+pub const LATEST: u32 = PIPELINES;
+
+/// The latest format that a node reads.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FormatRecord {
+    #[serde(rename = "v")]
+    pub version: u32,
+}
+
+/// How a start travels: what it is armed for, or the direct command.
+type Start = (Option<(u64, u64)>, Option<(u64, u64)>);
+
+fn start_of(b: &Booking) -> Start {
+    (b.armed, b.direct)
+}
+
+/// A chunk's record in format 2.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct CompactChunk {
+    #[serde(rename = "i", default)]
+    first: u32,
+    #[serde(rename = "z")]
+    tasks: String,
+    /// What the names of all its machines begin with, and their lowest attempt.
+    #[serde(rename = "m", default, skip_serializing_if = "String::is_empty")]
+    prefix: String,
+    #[serde(rename = "a", default)]
+    attempt: u64,
+    /// The usual start.
+    #[serde(rename = "s", default, skip_serializing_if = "String::is_empty")]
+    start: String,
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    stops: Vec<String>,
+    #[serde(rename = "o", default)]
+    team: String,
+    #[serde(rename = "u", default)]
+    need: Room,
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    failed_on: Vec<String>,
+    #[serde(rename = "n", default)]
+    fails: u32,
+    #[serde(rename = "p", default)]
+    pause_until: WallMs,
+}
+
+fn start_word(start: Start) -> String {
+    let part = |kind: char, pair: Option<(u64, u64)>| {
+        pair.map_or(String::new(), |(a, b)| format!("{kind}{a}.{b}"))
+    };
+    match start {
+        (None, None) => "n".into(),
+        (armed, direct) => part('s', armed) + &part('d', direct),
+    }
+}
+
+fn read_start(word: &str) -> Option<Start> {
+    if word == "n" {
+        return Some((None, None));
+    }
+    let pair = |s: &str| {
+        let (a, b) = s.split_once('.')?;
+        Some((a.parse().ok()?, b.parse().ok()?))
+    };
+    let (armed, direct) = match word.split_once('d') {
+        Some((armed, direct)) => (armed, Some(pair(direct)?)),
+        None => (word, None),
+    };
+    match armed.strip_prefix('s') {
+        Some(armed) => Some((Some(pair(armed)?), direct)),
+        None if armed.is_empty() && direct.is_some() => Some((None, direct)),
+        None => None,
+    }
+}
+
+fn base36(mut n: u64) -> String {
+    let mut digits = Vec::new();
+    loop {
+        digits.push(char::from_digit((n % 36) as u32, 36).unwrap_or('0'));
+        n /= 36;
+        if n == 0 {
+            return digits.iter().rev().collect();
+        }
+    }
+}
+
+/// What all these names begin with.
+fn common_prefix<'a>(mut names: impl Iterator<Item = &'a str>) -> &'a str {
+    let Some(mut prefix) = names.next() else {
+        return "";
+    };
+    for name in names {
+        let same = prefix.bytes().zip(name.bytes());
+        let len = same.take_while(|(a, b)| a == b).count();
+        prefix = &prefix[..len];
+    }
+    prefix
+}
+
+impl CompactChunk {
+    pub(crate) fn of(chunk: &ChunkRecord) -> CompactChunk {
+        let booked = || chunk.booked().map(|(_, b)| b);
+        let names: BTreeMap<&str, String> = booked()
+            .map(|b| (b.machine.as_str(), escape(&b.machine)))
+            .collect();
+        // Escaped names are plain ASCII: any byte is a place to cut.
+        let prefix = common_prefix(names.values().map(String::as_str));
+        let attempt = booked().map(|b| b.attempt).min().unwrap_or(0);
+        let mut starts: BTreeMap<Start, usize> = BTreeMap::new();
+        for b in booked() {
+            *starts.entry(start_of(b)).or_default() += 1;
+        }
+        let usual = starts.iter().max_by_key(|(_, n)| **n).map(|(s, _)| *s);
+        let stops: BTreeSet<&String> = booked().filter_map(|b| b.stop.as_ref()).collect();
+        let stops: Vec<String> = stops.into_iter().cloned().collect();
+        let mut words = String::new();
+        for same in chunk.tasks.chunk_by(|a, b| a == b) {
+            if !words.is_empty() {
+                words.push(' ');
+            }
+            let n = same.len();
+            let _ = match &same[0] {
+                TaskState::Waiting => write!(words, "={n}"),
+                TaskState::Done => write!(words, "+{n}"),
+                TaskState::Booked(b) => {
+                    let name = names.get(b.machine.as_str()).map_or("", |n| n.as_str());
+                    let mut word = format!(
+                        "{}:{}",
+                        name.get(prefix.len()..).unwrap_or(""),
+                        base36(b.attempt - attempt)
+                    );
+                    if Some(start_of(b)) != usual {
+                        word += &format!(":{}", start_word(start_of(b)));
+                    }
+                    if let Some(at) = b
+                        .stop
+                        .as_ref()
+                        .and_then(|s| stops.iter().position(|x| x == s))
+                    {
+                        word += &format!("!{at}");
+                    }
+                    if n > 1 {
+                        word += &format!("*{n}");
+                    }
+                    write!(words, "{word}")
+                }
+            };
+        }
+        CompactChunk {
+            first: chunk.first,
+            tasks: words,
+            prefix: prefix.to_string(),
+            attempt,
+            start: usual.map_or(String::new(), start_word),
+            stops,
+            team: chunk.team.clone(),
+            need: chunk.need,
+            failed_on: chunk.failed_on.clone(),
+            fails: chunk.fails,
+            pause_until: chunk.pause_until,
+        }
+    }
+
+    fn booking(&self, word: &str) -> Option<(Booking, usize)> {
+        let (word, n) = match word.split_once('*') {
+            Some((word, n)) => (word, n.parse().ok()?),
+            None => (word, 1),
+        };
+        let (word, stop) = match word.split_once('!') {
+            Some((word, at)) => (word, Some(self.stops.get(at.parse::<usize>().ok()?)?)),
+            None => (word, None),
+        };
+        let mut parts = word.split(':');
+        let machine = unescape(&format!("{}{}", self.prefix, parts.next()?))?;
+        let attempt = u64::from_str_radix(parts.next()?, 36).ok()?;
+        let (armed, direct) = read_start(parts.next().unwrap_or(&self.start))?;
+        let booking = Booking {
+            machine,
+            attempt: self.attempt.checked_add(attempt)?,
+            armed,
+            direct,
+            stop: stop.cloned(),
+        };
+        Some((booking, n))
+    }
+
+    /// None for what no version has written.
+    pub(crate) fn read(self) -> Option<ChunkRecord> {
+        let mut tasks = Vec::new();
+        for word in self.tasks.split_ascii_whitespace() {
+            let (state, n): (TaskState, usize) = match word.split_at_checked(1)? {
+                ("=", n) => (TaskState::Waiting, n.parse().ok()?),
+                ("+", n) => (TaskState::Done, n.parse().ok()?),
+                _ => {
+                    let (booking, n) = self.booking(word)?;
+                    (TaskState::Booked(booking), n)
+                }
+            };
+            if n > JOB_TASKS as usize - tasks.len() {
+                return None;
+            }
+            tasks.extend(std::iter::repeat_n(state, n));
+        }
+        Some(ChunkRecord {
+            first: self.first,
+            tasks,
+            team: self.team,
+            need: self.need,
+            failed_on: self.failed_on,
+            fails: self.fails,
+            pause_until: self.pause_until,
+        })
+    }
+}
+
+/// Bytes that a record takes in a format, spaces between its fields allowed for.
+pub fn stored_bytes(record: &Record, format: u32) -> usize {
+    record.value(format).to_string().len() + VALUE_SPARE_BYTES
+}
+
+/// Tasks per chunk of a new job: as many as fit into a value when all are booked.
+pub fn chunk_tasks(format: u32, value_bytes: u64) -> u32 {
+    let fit = match format {
+        OLDEST => value_bytes / CHUNK_TASK_BYTES,
+        _ => value_bytes.saturating_sub(CHUNK_BASE_BYTES as u64 * 2) / COMPACT_TASK_BYTES,
+    };
+    fit.clamp(1, CHUNK_TASKS as u64) as u32
+}
+
+/// Whether a chunk can take one more booking, all of which may still be armed anew or get a
+/// reason to stop.
+pub fn takes_one_more(chunk: &ChunkRecord, machine: &str, format: u32, value_bytes: u64) -> bool {
+    let most = value_bytes as usize;
+    let booked = chunk.booked().count() + 1;
+    let plain = chunk.size() + BOOKING_BYTES + machine.len();
+    if plain <= most || format == OLDEST {
+        return plain <= most;
+    }
+    let now = stored_bytes(&Record::Chunk(chunk.clone()), format);
+    now + machine.len() + COMPACT_BOOKING_BYTES + booked * COMPACT_EDIT_BYTES <= most
+}
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -2,6 +2,7 @@
 //! old, except what can never change.
 
 use crate::constants::*;
+use crate::formats;
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
@@ -54,7 +55,8 @@
 
     fn ask(&mut self, request: RequestId, ask: Ask) {
         // A final state never changes, so the copy suffices however old it is.
-        if let Some(job) = self.cache.job(&ask.job).filter(|j| j.phase != Phase::Open) {
+        let over = |j: &&JobRecord| j.phase != Phase::Open || self.cache.doomed(&ask.job);
+        if let Some(job) = self.cache.job(&ask.job).filter(over) {
             let reply = self.job_reply(&ask, job);
             self.emit(Effect::User { request, reply });
             return;
@@ -66,7 +68,8 @@
         }
         // A new job needs no proof of freshness: its record is only written if absent.
         let new = self.cache.job(&ask.job).is_none();
-        let valid = matches!(&ask.want, Want::Submit(spec) if self.never(spec).is_none());
+        let valid = matches!(&ask.want, Want::Submit(spec)
+            if self.never(spec).or(self.unknown_awaited(spec)).is_none());
         let at_once = new && valid && !self.types.is_empty();
         self.asks.insert(request, ask);
         if at_once {
@@ -96,7 +99,8 @@
             return;
         };
         if let Some(job) = self.cache.job(&ask.job).cloned() {
-            if matches!(ask.want, Want::Cancel) && job.phase == Phase::Open {
+            let open = job.phase == Phase::Open && !self.cache.doomed(&ask.job);
+            if matches!(ask.want, Want::Cancel) && open {
                 let mut draft = Draft::new(&self.cache);
                 let over = job.over(Phase::Cancelled, self.wall);
                 draft.put(Key::Job(ask.job), Record::Job(over));
@@ -117,24 +121,35 @@
             self.answer(request, reply);
             return;
         }
-        if let Some(why) = self.never(&spec) {
+        let why = self.never(&spec).or(self.unknown_awaited(&spec));
+        if let Some(why) = why {
             tracing::info!(job = spec.id, why, "refused");
             self.answer(request, UserReply::Never(why));
             return;
         }
-        let by_value = (self.settings.value_bytes / CHUNK_TASK_BYTES).max(1) as u32;
-        let record = JobRecord {
+        if !spec.awaits.is_empty() && self.cache.format() < formats::PIPELINES {
+            // A node of an older version would start it at once.
+            let after_s = UPGRADE_RETRY_AFTER_S;
+            self.answer(request, UserReply::Later { after_s });
+            return;
+        }
+        let record = self.accepted(spec);
+        let mut draft = Draft::new(&self.cache);
+        draft.put(Key::Job(ask.job), Record::Job(record));
+        let txn = draft.finish();
+        self.commit(txn, Purpose::Ask(request), Priority::User);
+    }
+
+    /// A job's record at its acceptance.
+    fn accepted(&self, spec: Box<JobSpec>) -> JobRecord {
+        JobRecord {
             phase: Phase::Open,
             tasks: spec.tasks,
-            chunk: CHUNK_TASKS.min(by_value),
+            chunk: formats::chunk_tasks(self.cache.format(), self.settings.value_bytes),
             at: self.wall,
             ended: 0,
             spec: Some(spec),
-        };
-        let mut draft = Draft::new(&self.cache);
-        draft.put(Key::Job(ask.job), Record::Job(record));
-        let txn = draft.finish();
-        self.commit(txn, Purpose::Ask(request), Priority::User);
+        }
     }
 
     /// The state service gave no proof this time.
@@ -175,6 +190,7 @@
                 tracing::info!(job = ask.job, "cancelled");
                 let state = JobState::Cancelled;
                 self.command_stops(&ask.job);
+                self.cancel_doomed();
                 self.answer(
                     request,
                     UserReply::Cancelled {
@@ -227,6 +243,7 @@
         match job.phase {
             Phase::Done => (JobState::Done, job.tasks, 0),
             Phase::Cancelled => (JobState::Cancelled, 0, 0),
+            Phase::Open if self.cache.doomed(id) => (JobState::Cancelled, 0, 0),
             Phase::Open => {
                 let counts = self.cache.counts(id);
                 let state = match counts.booked {
@@ -258,6 +275,30 @@
         {
             return Some("more than the team's limit".into());
         }
-        None
+        let service = |a: &&String| {
+            let spec = self.cache.open_job(a);
+            spec.is_some_and(|s| s.shape == Shape::Service)
+        };
+        if let Some(awaited) = spec.awaits.iter().find(service) {
+            return Some(format!("awaits: {awaited} is a service"));
+        }
+        if spec.awaits.contains(&spec.id) {
+            return Some("awaits: a job can't await itself".into());
+        }
+        let record = Record::Job(self.accepted(Box::new(spec.clone())));
+        let (bytes, most) = (
+            formats::stored_bytes(&record, formats::LATEST),
+            self.settings.value_bytes as usize,
+        );
+        (bytes > most).then(|| {
+            format!("awaits and flavours are too long: the job takes {bytes} bytes of {most}")
+        })
+    }
+
+    /// Names an awaited job that was never accepted, as far as the records show.
+    fn unknown_awaited(&self, spec: &JobSpec) -> Option<String> {
+        let unknown = |a: &&String| self.cache.job(a).is_none();
+        let awaited = spec.awaits.iter().find(unknown)?;
+        Some(format!("awaits: {awaited} was never accepted"))
     }
 }
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -7,6 +7,7 @@
 use crate::claims::{self, within_limit, zone_room};
 use crate::constants::*;
 use crate::model::*;
+use crate::pipelines::{self, Pull};
 use crate::records::*;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -44,28 +45,49 @@
     /// All of them fit into what is left of their team's guarantee.
     pub within: bool,
     pub zones: PlaceRecord,
+    /// When its tasks could have started.
     pub at: WallMs,
 }
 
-/// When a job should be complete, as a time of day: its deadline, or what the objectives say
-/// of its class - the first of these that it can still meet. What can meet none comes after
-/// everything that can, since it is late in any case.
-fn due(job: &JobRecord, spec: &JobSpec, settings: &Settings, wall: WallMs) -> WallMs {
-    let run_ms = (spec.estimate_s * 1000.0 * FEASIBLE_SHARE) as u64;
-    let deadline = spec.deadline_s.map(|d| (d.max(0.0) * 1000.0) as u64);
-    let goals = settings.goals.get(&spec.class);
+/// When a job should be complete, as a time of day: its deadline or that of a job which needs it,
+/// or what the objectives say of its class, counted from when it could start - the first of these
+/// that it can still meet. What can meet none comes after everything that can, since it is late in
+/// any case.
+fn due(
+    job: &JobRecord,
+    spec: &JobSpec,
+    ready_at: WallMs,
+    pull: Option<&Pull>,
+    settings: &Settings,
+    wall: WallMs,
+) -> WallMs {
+    let run_ms = pipelines::least_run_ms(spec);
+    let own = pipelines::deadline(job, spec).into_iter();
+    let deadline = own.chain(pull.and_then(|p| p.due)).min();
+    let goals = settings.goals.get(&spec.class).into_iter().flatten();
+    let goals = goals.map(|within| ready_at + within);
+    let start = settings.starts.get(&spec.class);
+    let start = start.filter(|_| spec.shape == Shape::Array);
+    let start = start.map(|within| ready_at + within + run_ms);
     deadline
-        .iter()
-        .chain(goals.into_iter().flatten())
-        .map(|within| job.at + within)
+        .into_iter()
+        .chain(goals)
+        .chain(start)
         .find(|due| wall + run_ms <= *due)
-        .unwrap_or(job.at + NO_GOAL_MS)
+        .unwrap_or(ready_at + NO_GOAL_MS)
 }
 
 /// Waiting tasks in the order in which they should be served.
-pub fn waiting(cache: &Cache, settings: &Settings, wall: WallMs) -> Vec<Waiting> {
+pub fn waiting(
+    cache: &Cache,
+    settings: &Settings,
+    pulls: &HashMap<String, Pull>,
+    wall: WallMs,
+) -> Vec<Waiting> {
     let mut found: Vec<Waiting> = Vec::new();
     for (id, job, spec) in cache.waiting_jobs() {
+        let ready_at = cache.ready_at(job);
+        let pull = pulls.get(id);
         let mut indices = Vec::new();
         let mut avoid: Vec<String> = Vec::new();
         let mut looked = 0;
@@ -120,16 +142,16 @@
                 own: own.then(|| id.to_string()),
             },
             urgency: Urgency {
-                rank: std::cmp::Reverse(spec.rank),
+                rank: std::cmp::Reverse(pull.map_or(spec.rank, |p| p.rank.max(spec.rank))),
                 borrowed: false,
-                due: due(job, spec, settings, wall),
+                due: due(job, spec, ready_at, pull, settings, wall),
             },
             indices: indices.into(),
             avoid,
             suspect,
             within: false,
             zones,
-            at: job.at,
+            at: ready_at,
         });
     }
     // Guarantees are handed out in order of rank and due time, then limits are applied.
@@ -336,6 +358,7 @@
         let has_image = |machine: &Candidate| {
             image.is_some_and(|image| machine.images.iter().any(|(i, _)| *i == image))
         };
+        let urgent = waiting.urgency.rank.0 >= Rank::High;
         let mut best: Vec<(bool, Grade, usize)> = Vec::new();
         for (m, machine) in machines.iter().enumerate() {
             let record = machine.record;
@@ -345,7 +368,11 @@
             {
                 // A machine at fault is soon free again, and would draw all that waits.
                 let avoided = waiting.avoid.iter().any(|id| id == machine.id);
-                best.push((avoided, self.grade(machine, record, spec, warm), m));
+                best.push((
+                    avoided,
+                    self.grade(machine, record, spec, warm || !urgent),
+                    m,
+                ));
             }
         }
         best.sort();
@@ -385,6 +412,11 @@
                     Err(claims::Refusal::TaskTaken) => {
                         waiting.indices.pop_front();
                     }
+                    // The rest of that chunk has to wait for tasks of it to end; others go on.
+                    Err(claims::Refusal::ChunkFull) => {
+                        let size = self.cache.job(&waiting.job).map_or(1, |j| j.chunk.max(1));
+                        waiting.indices.retain(|i| i / size != index / size);
+                    }
                     Err(claims::Refusal::Full) => {
                         placement.full = true;
                         return placement;
@@ -416,7 +448,7 @@
         machine: &Candidate,
         record: &MachineRecord,
         spec: &JobSpec,
-        warm: bool,
+        no_fetch_matters: bool,
     ) -> Grade {
         // Services gather on the largest ordinary machines, whose caches come to hold all their
         // images, and other work leaves these for last: what room is kept for the next service
@@ -429,7 +461,7 @@
         };
         // Work of high rank has to start at once: a machine that fetches its image sooner
         // comes before others. The rest can wait for it.
-        let fetch_s = match warm || spec.rank < Rank::High {
+        let fetch_s = match no_fetch_matters {
             true => 0,
             false => (machine.fetch_ms + self.fetch_ms(record, spec)) / 1000,
         };
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -379,9 +379,13 @@
         }
     }
 
-    /// A command under the machine's current token and session; none if they are not known.
+    /// A command under the machine's current token and session; none if they are not known. Whether
+    /// it answers can be asked without a session: a machine that died while all nodes were away was
+    /// heard by none of them since, and would otherwise never be found silent.
     fn command_now(&mut self, id: String, orders: Vec<Order>) {
-        if let (Some(token), Some(session)) = (self.machine_token(&id), self.latest_session(&id)) {
+        let none = orders.is_empty().then_some(NO_SESSION);
+        let session = self.latest_session(&id).or(none);
+        if let (Some(token), Some(session)) = (self.machine_token(&id), session) {
             self.command(id, session, token, orders);
         }
     }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -90,6 +90,9 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts, without repeats.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
 }
 
 impl JobSpec {
@@ -141,13 +144,18 @@
     pub teams: BTreeMap<String, Team>,
     /// Per class, milliseconds within which its jobs should be complete, shortest first.
     pub goals: BTreeMap<String, Vec<u64>>,
+    /// Per class, milliseconds within which its tasks should start.
+    pub starts: BTreeMap<String, u64>,
     pub report_ms: u64,
     pub lease_ms: u64,
     pub cancel_ms: u64,
+    /// The smaller of the state service's present limits and those announced, as is `txn_ops`.
     pub value_bytes: u64,
     pub txn_ops: usize,
-    /// Changes a second that this node may make to the state service.
+    /// Changes a second that this node may make to the state service, ...
     pub write_rps: f64,
+    /// ... and once the announced limits are in force.
+    pub next_write_rps: f64,
     pub clock_off_ms: u64,
     pub idle_return_ms: u64,
     /// How far the cloud's list may lag; at times it is twice that.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::allowance::Allowance;
 use crate::constants::*;
+use crate::formats::{self, FormatRecord};
 use crate::jobs::Ask;
 use crate::machines::{Held, Seen};
 use crate::model::*;
@@ -229,9 +230,14 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
     Proof,
-    Load { round: u64 },
+    Load {
+        round: u64,
+    },
     Ask(RequestId),
-    Flush { armed: Vec<String>, returning: bool },
+    Flush {
+        armed: Vec<String>,
+        returning: bool,
+    },
     Lookup(Vec<(TaskId, String)>),
     NewHires(Vec<u64>),
     Hire(u64),
@@ -240,6 +246,9 @@
     Stop(Vec<(String, TaskId)>),
     Delete(Vec<String>),
     Finish(String),
+    /// Cancels jobs that need a cancelled one.
+    Cascade(Vec<String>),
+    Format,
     Sweep,
     Types,
     Hosts,
@@ -383,6 +392,15 @@
     pub(crate) missing_since: HashMap<(TaskId, u64), Millis>,
     pub(crate) hire_busy: bool,
     pub(crate) finishing: BTreeSet<String>,
+    // Pipelines and formats
+    /// Jobs that need a cancelled one, since when that is known here, by steady time.
+    pub(crate) doomed_since: BTreeMap<String, Millis>,
+    pub(crate) cascade_busy: bool,
+    pub(crate) format_busy: bool,
+    /// The common format, and the nodes that lack the latest, as last logged.
+    pub(crate) format_logged: Option<(u32, usize)>,
+    /// Records logged as too large for a value.
+    pub(crate) large_logged: BTreeSet<Key>,
     pub(crate) list_at: Millis,
     pub(crate) list_busy: bool,
     pub(crate) sweep_busy: bool,
@@ -411,6 +429,8 @@
     pub fn new(settings: Settings, seed: u64, now: Millis, wall: WallMs) -> Node {
         let writes = Allowance::new(settings.write_rps, WRITE_BURST_S, now);
         let flush_ops = settings.txn_ops;
+        let mut cache = Cache::default();
+        cache.members = settings.nodes.clone();
         Node {
             settings,
             rng: SmallRng::seed_from_u64(seed),
@@ -420,7 +440,7 @@
             woke: now,
             stale: false,
             woke_token: 0,
-            cache: Cache::default(),
+            cache,
             loaded: false,
             load_round: 0,
             load_listed: BTreeSet::new(),
@@ -486,6 +506,11 @@
             missing_since: HashMap::new(),
             hire_busy: false,
             finishing: BTreeSet::new(),
+            doomed_since: BTreeMap::new(),
+            cascade_busy: false,
+            format_busy: false,
+            format_logged: None,
+            large_logged: BTreeSet::new(),
             list_at: now + LIST_MS,
             list_busy: false,
             sweep_busy: false,
@@ -522,7 +547,7 @@
             Event::State { token, answer } => self.state_answer(token, answer),
             Event::Watched { epoch, changes } => self.watched(epoch, changes),
             Event::WatchGap => self.reload(),
-            Event::Throttled => self.throttled_at = Some(self.now),
+            Event::Throttled => self.throttled(),
             Event::Cloud { token, answer } => self.cloud_answer(token, answer),
             Event::Commanded { machine, reach } => self.commanded(machine, reach),
             Event::Beat(beat) => self.heed(beat),
@@ -589,6 +614,54 @@
             .insert(beat.node.clone(), Sibling { at, beat });
     }
 
+    /// The state service was asked too much. Once all nodes are upgraded its announced limits may
+    /// be in force any time: from the first such answer on this node keeps to them.
+    fn throttled(&mut self) {
+        self.throttled_at = Some(self.now);
+        if self.cache.format() == formats::LATEST {
+            self.writes.slow_down(self.settings.next_write_rps);
+        }
+    }
+
+    /// Says once of each record that it does not fit into a value any more.
+    pub(crate) fn too_large(&mut self, records: Vec<(Key, usize)>) {
+        for (key, bytes) in records {
+            if self.large_logged.len() < BARRED_KEPT && self.large_logged.insert(key.clone()) {
+                let (key, limit) = (key.path(), self.settings.value_bytes);
+                tracing::error!(key, bytes, limit, "a record is too large to be written");
+            }
+        }
+    }
+
+    /// Records which format this node reads, and logs how far a rolling upgrade is.
+    fn note_format(&mut self) {
+        let format = self.cache.format();
+        let old = |node: &&String| self.cache.format_of(node) < formats::LATEST;
+        let old: Vec<&str> = (self.settings.nodes.iter().filter(old))
+            .map(String::as_str)
+            .collect();
+        if self.format_logged != Some((format, old.len())) {
+            match old.is_empty() {
+                true => tracing::info!(format, "every node has the latest format"),
+                false => {
+                    let waits_for = old.join(" ");
+                    tracing::info!(format, waits_for, "rolling upgrade: old format in use");
+                }
+            }
+            self.format_logged = Some((format, old.len()));
+        }
+        let known = self.cache.format_of(&self.settings.node);
+        if known < formats::LATEST && !self.format_busy {
+            let mut draft = Draft::new(&self.cache);
+            let version = formats::LATEST;
+            let key = Key::Format(self.settings.node.clone());
+            draft.put(key, Record::Format(FormatRecord { version }));
+            let txn = draft.finish();
+            self.format_busy = true;
+            self.commit(txn, Purpose::Format, Priority::User);
+        }
+    }
+
     pub(crate) fn emit(&mut self, effect: Effect) {
         self.out.push(effect);
     }
@@ -797,6 +870,7 @@
             self.term_busy = true;
             self.commit(txn, Purpose::Term, Priority::User);
         }
+        self.note_format();
         if self.now >= self.forgot_at + FORGET_MS {
             self.forgot_at = self.now;
             if self.now >= self.started + STATS_MS {
@@ -809,6 +883,7 @@
             self.judged_at = self.now;
             self.judge_machines();
             self.finish_jobs();
+            self.cascade();
             if self.on_duty() {
                 self.sweep();
             }
--- /dev/null
+++ b/crates/core/src/pipelines.rs
@@ -0,0 +1,136 @@
+//! Job pipelines: which jobs await which (dependencies, upstream and downstream), what a
+//! cancellation takes with it, and how urgent a job is for the sake of those that need it.
+//!
+//! A user names only accepted jobs, so there are no cycles; nothing here recurses, and one would
+//! merely not be served.
+
+use crate::constants::*;
+use crate::model::*;
+use crate::records::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Open jobs by the jobs that they await, and those that need a cancelled one.
+#[derive(Debug, Default)]
+pub struct Dependents {
+    by_awaited: BTreeMap<String, BTreeSet<String>>,
+    doomed: BTreeSet<String>,
+}
+
+impl Dependents {
+    /// Open jobs that need a cancelled one.
+    pub fn doomed(&self) -> &BTreeSet<String> {
+        &self.doomed
+    }
+    /// Open jobs that name this one.
+    pub fn of(&self, id: &str) -> Vec<String> {
+        self.by_awaited
+            .get(id)
+            .map_or(Vec::new(), |d| d.iter().cloned().collect())
+    }
+    /// A job awaits others now: none, once it is over.
+    pub(crate) fn link(&mut self, id: &str, before: &[String], now: &[String]) {
+        if before != now {
+            for awaited in before {
+                if let Some(jobs) = self.by_awaited.get_mut(awaited) {
+                    jobs.remove(id);
+                    if jobs.is_empty() {
+                        self.by_awaited.remove(awaited);
+                    }
+                }
+            }
+            for awaited in now {
+                let jobs = self.by_awaited.entry(awaited.clone()).or_default();
+                jobs.insert(id.to_string());
+            }
+        }
+        if now.is_empty() {
+            self.doomed.remove(id);
+        }
+    }
+    /// An open job needs a cancelled one, and so does all that needs it.
+    pub(crate) fn doom(&mut self, id: &str) {
+        let mut next = vec![id.to_string()];
+        while let Some(id) = next.pop() {
+            if !self.doomed.contains(&id) {
+                next.extend(self.of(&id));
+                self.doomed.insert(id);
+            }
+        }
+    }
+    pub(crate) fn cancelled(&mut self, id: &str) {
+        for dependent in self.of(id) {
+            self.doom(&dependent);
+        }
+    }
+}
+
+/// What jobs downstream make of a job: the highest rank among them, and the time of day by which
+/// it must be done for their deadlines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pull {
+    pub rank: Rank,
+    pub due: Option<WallMs>,
+}
+
+fn earliest(a: Option<WallMs>, b: Option<WallMs>) -> Option<WallMs> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// For every open job that others need, what these make of it. Rank and deadline stand on the
+/// last job of a pipeline; passed upstream, a deadline is earlier by the run time of each job
+/// between, of which a share must do, since estimates are often too high.
+pub fn pulls(cache: &Cache) -> HashMap<String, Pull> {
+    let dependents = &cache.dependents().by_awaited;
+    // Open jobs downstream that are still to be looked at, per job; those without go first.
+    let mut left: HashMap<&str, usize> = HashMap::new();
+    let mut next: Vec<&str> = Vec::new();
+    for (id, jobs) in dependents {
+        for dependent in jobs {
+            if !dependents.contains_key(dependent) && !left.contains_key(dependent.as_str()) {
+                left.insert(dependent, 0);
+                next.push(dependent);
+            }
+        }
+        left.insert(id, jobs.len());
+    }
+    let mut pulls: HashMap<String, Pull> = HashMap::new();
+    while let Some(id) = next.pop() {
+        let (Some(job), Some(spec)) = (cache.job(id), cache.open_job(id)) else {
+            continue;
+        };
+        let own = pulls.get(id);
+        let rank = own.map_or(spec.rank, |p| p.rank.max(spec.rank));
+        let due = earliest(deadline(job, spec), own.and_then(|p| p.due));
+        let due = due.map(|due| due.saturating_sub(least_run_ms(spec)));
+        for awaited in &spec.awaits {
+            if let Some(n) = left.get_mut(awaited.as_str()) {
+                *n = n.saturating_sub(1);
+                if *n == 0 {
+                    next.push(awaited);
+                }
+            }
+            if cache.open_job(awaited).is_some() {
+                let pull = Pull { rank, due };
+                let known = pulls.entry(awaited.clone()).or_insert(pull);
+                known.rank = known.rank.max(rank);
+                known.due = earliest(known.due, due);
+            }
+        }
+    }
+    pulls
+}
+
+/// The time of day at which a job is to be done by its own deadline, however long it waited for
+/// others.
+pub fn deadline(job: &JobRecord, spec: &JobSpec) -> Option<WallMs> {
+    let within = spec.deadline_s.map(|d| (d.max(0.0) * 1000.0) as u64);
+    within.map(|ms| job.at.saturating_add(ms))
+}
+
+/// Milliseconds that a job still takes at the least, going by its estimate.
+pub fn least_run_ms(spec: &JobSpec) -> u64 {
+    (spec.estimate_s * 1000.0 * FEASIBLE_SHARE) as u64
+}
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -5,9 +5,11 @@
 use crate::lookup::{self, Candidate};
 use crate::model::*;
 use crate::node::*;
+use crate::pipelines::{self, Pull};
 use crate::preempt;
 use crate::records::*;
 use rand::Rng;
+use std::collections::HashMap;
 
 impl Node {
     /// Whether a lookup is wanted and nothing but a turn to write is lacking for it.
@@ -33,7 +35,8 @@
         self.lookup_wanted = false;
         let jitter = self.rng.gen_range(0..POLL_MS / 4);
         self.lookup_at = self.now + POLL_MS + jitter;
-        let mut work = lookup::waiting(&self.cache, &self.settings, self.wall);
+        let pulls = pipelines::pulls(&self.cache);
+        let mut work = lookup::waiting(&self.cache, &self.settings, &pulls, self.wall);
         self.waiting_work = !work.is_empty();
         if work.is_empty() {
             return;
@@ -86,13 +89,13 @@
         }
         if !full {
             work.retain(|w| !w.indices.is_empty() && !w.suspect);
-            self.preempt(&work);
+            self.preempt(&work, &pulls);
             self.rent(&work);
         }
     }
 
     /// Stops work of lower rank for what found no room.
-    fn preempt(&mut self, work: &[lookup::Waiting]) {
+    fn preempt(&mut self, work: &[lookup::Waiting], pulls: &HashMap<String, Pull>) {
         if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
             return;
         }
@@ -128,7 +131,16 @@
             }
         };
         let usable = |id: &str| self.recently_heard(id) && !self.condemned.contains_key(id);
-        let stops = preempt::victims(&self.cache, &self.settings, &self.types, &ripe, usable, age);
+        let rank = |job: &str, spec: &JobSpec| {
+            let pulled = pulls.get(job).map(|p| p.rank);
+            pulled.map_or(spec.rank, |rank| rank.max(spec.rank))
+        };
+        let site = preempt::Site {
+            cache: &self.cache,
+            settings: &self.settings,
+            types: &self.types,
+        };
+        let stops = preempt::victims(site, &ripe, usable, age, rank);
         let mut draft = Draft::new(&self.cache);
         let mut chosen = Vec::new();
         for (id, task) in stops {
@@ -147,9 +159,13 @@
             return;
         }
         self.preempted_at = self.now;
-        let txn = draft.finish();
-        self.writing = true;
-        self.commit(txn, Purpose::Stop(chosen), Priority::Claim);
+        let large = draft.drop_oversized(self.settings.value_bytes);
+        if !draft.is_empty() {
+            let txn = draft.finish();
+            self.writing = true;
+            self.commit(txn, Purpose::Stop(chosen), Priority::Claim);
+        }
+        self.too_large(large);
     }
 
     fn rent(&mut self, work: &[lookup::Waiting]) {
@@ -174,7 +190,15 @@
         let mut draft = Draft::new(&self.cache);
         let mut fleet = draft.fleet();
         let mut hires = Vec::new();
-        for wish in wishes.into_iter().take(HIRES_AT_ONCE) {
+        // The machines that it brings are named in its record.
+        let names = self
+            .settings
+            .value_bytes
+            .saturating_sub(SMALL_RECORD_BYTES as u64);
+        let most = (names / MACHINE_NAME_BYTES).clamp(1, HIRE_MAX as u64) as u32;
+        // With the number of the next one, in one transaction.
+        let at_once = HIRES_AT_ONCE.min(self.settings.txn_ops - 1);
+        for wish in wishes.into_iter().take(at_once) {
             let n = fleet.next;
             fleet.next += 1;
             hires.push(n);
@@ -184,7 +208,7 @@
                     type_name: wish.type_name,
                     zone: wish.zone,
                     spot: wish.spot,
-                    count: wish.count.min(HIRE_MAX),
+                    count: wish.count.min(most),
                     node: self.settings.node.clone(),
                     at: self.wall,
                     hosts: None,
@@ -228,9 +252,13 @@
             self.edit_booking(&mut draft, &task, attempt, |b| {
                 b.stop = Some("moved".into());
             });
-            let txn = draft.finish();
-            self.writing = true;
-            self.commit(txn, Purpose::Stop(vec![(id, task)]), Priority::Claim);
+            let large = draft.drop_oversized(self.settings.value_bytes);
+            if !draft.is_empty() {
+                let txn = draft.finish();
+                self.writing = true;
+                self.commit(txn, Purpose::Stop(vec![(id, task)]), Priority::Claim);
+            }
+            self.too_large(large);
         } else if self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
             let now = self.now;
             let old = |id: &str| {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -32,6 +32,8 @@
 /// For whom room is made.
 struct Claimant<'a> {
     spec: &'a JobSpec,
+    /// Its own, or that of a job that needs it.
+    rank: Rank,
     within: bool,
     waste: Millis,
 }
@@ -48,7 +50,7 @@
                     .get(v.team)
                     .is_some_and(|cpus| *cpus >= v.need.cpus)
         };
-        v.waste <= self.waste && (v.rank < self.spec.rank || lent())
+        v.waste <= self.waste && (v.rank < self.rank || lent())
     }
 }
 
@@ -58,16 +60,28 @@
     }
 }
 
+/// What there is to choose from.
+pub struct Site<'a> {
+    pub cache: &'a Cache,
+    pub settings: &'a Settings,
+    pub types: &'a HashMap<String, MachineType>,
+}
+
 /// Tasks to stop, with their machines, so that waiting work gets started.
-/// `age` tells how long an attempt has been booked.
+/// `age` tells how long an attempt has been booked, `rank` what a job counts as for the sake of
+/// those that need it.
 pub fn victims(
-    cache: &Cache,
-    settings: &Settings,
-    types: &HashMap<String, MachineType>,
+    site: Site,
     work: &[Waiting],
     usable: impl Fn(&str) -> bool,
     age: impl Fn(u64) -> Millis,
+    rank: impl Fn(&str, &JobSpec) -> Rank,
 ) -> Vec<(String, TaskId)> {
+    let Site {
+        cache,
+        settings,
+        types,
+    } = site;
     let mut machines: Vec<Coming> = Vec::new();
     let mut borrowed = Borrowed::new();
     let mut lowest = Rank::Production;
@@ -85,12 +99,13 @@
             if let Some(spec) = cache.open_job(&task.job) {
                 let saved = spec.checkpoint_s > 0.0;
                 *borrowed.entry(&spec.team).or_default() += p.need.cpus;
-                lowest = lowest.min(spec.rank);
+                let rank = rank(&task.job, spec);
+                lowest = lowest.min(rank);
                 victims.push(Victim {
                     task: task.clone(),
                     team: &spec.team,
                     need: p.need,
-                    rank: spec.rank,
+                    rank,
                     service: spec.shape == Shape::Service,
                     waste: if saved { 0 } else { age(p.booking.attempt) },
                 });
@@ -114,13 +129,15 @@
             continue;
         };
         let lent = w.within && borrowed.values().any(|cpus| *cpus > 0);
-        if lowest >= spec.rank && !lent {
+        let rank = w.urgency.rank.0;
+        if lowest >= rank && !lent {
             continue;
         }
         let claimant = Claimant {
             spec,
+            rank,
             within: w.within,
-            waste: match spec.rank {
+            waste: match rank {
                 Rank::Production => Millis::MAX,
                 _ => PREEMPT_WASTE_MS,
             },
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,7 +1,9 @@
 //! Shared records: their keys, values, a copy of them, and conditional transactions.
 
 use crate::constants::*;
+use crate::formats::{self, CompactChunk, FormatRecord};
 use crate::model::*;
+use crate::pipelines::Dependents;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -20,9 +22,11 @@
     Machine(String),
     Team(String),
     Hire(u64),
+    /// Of a node. Versions before format 2 pass over keys of this kind.
+    Format(String),
 }
 
-fn escape(s: &str) -> String {
+pub(crate) fn escape(s: &str) -> String {
     let mut out = String::with_capacity(s.len());
     for b in s.bytes() {
         if b.is_ascii_alphanumeric() || b == b'-' || b == b'_' || b == b'.' {
@@ -34,7 +38,7 @@
     out
 }
 
-fn unescape(s: &str) -> Option<String> {
+pub(crate) fn unescape(s: &str) -> Option<String> {
     let mut out = Vec::with_capacity(s.len());
     let mut bytes = s.bytes();
     while let Some(b) = bytes.next() {
@@ -61,6 +65,7 @@
             Key::Machine(id) => format!("g/machine/{}", escape(id)),
             Key::Team(name) => format!("g/team/{}", escape(name)),
             Key::Hire(n) => format!("g/hire/{n:08}"),
+            Key::Format(node) => format!("g/format/{}", escape(node)),
         }
     }
 
@@ -77,6 +82,7 @@
             ("machine", Some(id), None) => Key::Machine(unescape(id)?),
             ("team", Some(name), None) => Key::Team(unescape(name)?),
             ("hire", Some(n), None) => Key::Hire(n.parse().ok()?),
+            ("format", Some(node), None) => Key::Format(unescape(node)?),
             _ => return None,
         };
         Some(key)
@@ -366,20 +372,24 @@
     Machine(MachineRecord),
     Team(TeamRecord),
     Hire(HireRecord),
+    Format(FormatRecord),
 }
 
 impl Record {
-    pub fn value(&self) -> Value {
+    /// As it is stored in a format.
+    pub fn value(&self, format: u32) -> Value {
         let value = match self {
             Record::Term(r) => serde_json::to_value(r),
             Record::Types(r) => serde_json::to_value(r),
             Record::Fleet(r) => serde_json::to_value(r),
             Record::Job(r) => serde_json::to_value(r),
-            Record::Chunk(r) => serde_json::to_value(r),
+            Record::Chunk(r) if format < formats::PIPELINES => serde_json::to_value(r),
+            Record::Chunk(r) => serde_json::to_value(CompactChunk::of(r)),
             Record::Place(r) => serde_json::to_value(r),
             Record::Machine(r) => serde_json::to_value(r),
             Record::Team(r) => serde_json::to_value(r),
             Record::Hire(r) => serde_json::to_value(r),
+            Record::Format(r) => serde_json::to_value(r),
         };
         value.unwrap_or(Value::Null)
     }
@@ -393,11 +403,15 @@
             Key::Types => get(value).map(Record::Types),
             Key::Fleet => get(value).map(Record::Fleet),
             Key::Job(_) => get(value).map(Record::Job),
-            Key::Chunk(..) => get(value).map(Record::Chunk),
+            Key::Chunk(..) => match value.get("z") {
+                Some(_) => get::<CompactChunk>(value)?.read().map(Record::Chunk),
+                None => get(value).map(Record::Chunk),
+            },
             Key::Place(_) => get(value).map(Record::Place),
             Key::Machine(_) => get(value).map(Record::Machine),
             Key::Team(_) => get(value).map(Record::Team),
             Key::Hire(_) => get(value).map(Record::Hire),
+            Key::Format(_) => get(value).map(Record::Format),
         }
     }
 }
@@ -438,11 +452,18 @@
     machines: Table<String, MachineRecord>,
     teams: Table<String, TeamRecord>,
     hires: Table<u64, HireRecord>,
+    formats: Table<String, FormatRecord>,
+    /// Names of all nodes, as the settings have them.
+    pub members: Vec<String>,
+    /// Records that the state service refused to take as large as they would have become, and the
+    /// revision that this was tried on.
+    barred: BTreeMap<Key, u64>,
     pub epoch: u64,
     // Gathered
     open: BTreeSet<String>,
     /// Open jobs with tasks that are neither done nor booked.
     waiting: BTreeSet<String>,
+    dependents: Dependents,
     counts: BTreeMap<String, Counts>,
     held: HashMap<String, Holding>,
     usage: BTreeMap<String, TeamRecord>,
@@ -502,14 +523,15 @@
         })
     }
 
-    /// Open jobs with tasks that wait, in order of their names.
+    /// Open jobs with tasks that wait for a machine, and for no other job, in order of their names.
     pub fn waiting_jobs(&self) -> impl Iterator<Item = (&str, &JobRecord, &JobSpec)> {
         self.with_specs(&self.waiting)
     }
     fn note_waiting(&mut self, id: &str) {
         let counts = self.counts(id);
         let job = self.job(id).filter(|j| j.open().is_some());
-        if job.is_some_and(|j| counts.booked + counts.done < j.tasks) {
+        let waits = job.is_some_and(|j| counts.booked + counts.done < j.tasks);
+        if waits && !self.blocked(id) {
             if !self.waiting.contains(id) {
                 self.waiting.insert(id.to_string());
             }
@@ -523,6 +545,77 @@
     accessors!(place, places, PlaceRecord, str);
     accessors!(hire, hires, HireRecord, u64);
 
+    /// Whether an open job awaits one that is not done on record. `Done` is final, so what is
+    /// found not to be blocked never is again.
+    pub fn blocked(&self, id: &str) -> bool {
+        let done = |a: &String| self.job(a).is_some_and(|j| j.phase == Phase::Done);
+        self.open_job(id)
+            .is_some_and(|s| !s.awaits.iter().all(done))
+    }
+    /// Whether an open job needs a cancelled one, directly or through others. Nothing of it has
+    /// run or ever will, so it counts as cancelled before its own record says so.
+    pub fn doomed(&self, id: &str) -> bool {
+        self.dependents.doomed().contains(id)
+    }
+    pub fn dependents(&self) -> &Dependents {
+        &self.dependents
+    }
+    /// From when on a job's tasks could start: its acceptance, or the end of the last job that it
+    /// awaits. The same for every node.
+    pub fn ready_at(&self, job: &JobRecord) -> WallMs {
+        let awaits = job.spec.iter().flat_map(|s| &s.awaits);
+        let ends = awaits.filter_map(|a| self.job(a).map(|j| j.ended));
+        ends.fold(job.at, WallMs::max)
+    }
+    /// Keeps what depends on a job's phase in step with a record that changed.
+    fn job_changed(&mut self, id: &str, awaited: Vec<String>) {
+        let spec = self.job(id).and_then(|j| j.open());
+        let awaits = spec.map_or(Vec::new(), |s| s.awaits.clone());
+        let phase = self.job(id).map(|j| j.phase);
+        let cancelled = |a: &String| {
+            let phase = self.jobs.get(a).map(|(j, _)| j.phase);
+            phase == Some(Phase::Cancelled) || self.dependents.doomed().contains(a)
+        };
+        let dooms = awaits.iter().any(cancelled);
+        self.dependents.link(id, &awaited, &awaits);
+        self.note_waiting(id);
+        match phase {
+            Some(Phase::Cancelled) => self.dependents.cancelled(id),
+            _ if dooms => self.dependents.doom(id),
+            _ => {}
+        }
+        for dependent in self.dependents.of(id) {
+            self.note_waiting(&dependent);
+        }
+    }
+
+    /// The latest format that every node reads.
+    pub fn format(&self) -> u32 {
+        let of = |node| self.format_of(node);
+        let common = self.members.iter().map(of).min();
+        common.unwrap_or(formats::OLDEST).min(formats::LATEST)
+    }
+    /// The latest format that a node reads, as far as it has said so.
+    pub fn format_of(&self, node: &String) -> u32 {
+        let row = self.formats.get(node);
+        row.map_or(formats::OLDEST, |(f, _)| f.version)
+    }
+    /// A record is not to be written again as it stands now.
+    pub fn bar(&mut self, key: Key) {
+        let stamp = self.stamp(&key);
+        let mut barred = std::mem::take(&mut self.barred);
+        barred.retain(|key, at| *at == self.stamp(key));
+        self.barred = barred;
+        if self.barred.len() < BARRED_KEPT {
+            self.barred.insert(key, stamp);
+        }
+    }
+    /// Whether that holds: once somebody has changed it, it is tried again.
+    pub fn barred(&self, key: &Key) -> bool {
+        let at = self.barred.get(key);
+        at.is_some_and(|at| *at == self.stamp(key))
+    }
+
     pub fn stamp(&self, key: &Key) -> u64 {
         fn of<R>(row: Option<&(R, u64)>) -> u64 {
             row.map_or(0, |(_, stamp)| *stamp)
@@ -537,6 +630,7 @@
             Key::Machine(id) => of(self.machines.get(id)),
             Key::Team(id) => of(self.teams.get(id)),
             Key::Hire(n) => of(self.hires.get(n)),
+            Key::Format(node) => of(self.formats.get(node)),
         }
     }
     pub fn get(&self, key: &Key) -> Option<Record> {
@@ -550,6 +644,7 @@
             Key::Machine(id) => Record::Machine(self.machine(id)?.clone()),
             Key::Team(id) => Record::Team(self.teams.get(id)?.0.clone()),
             Key::Hire(n) => Record::Hire(self.hire(n)?.clone()),
+            Key::Format(node) => Record::Format(self.formats.get(node)?.0.clone()),
         })
     }
     pub fn job_stamp(&self, id: &str) -> u64 {
@@ -780,8 +875,9 @@
             }
             (Key::Job(id), Record::Job(r)) => {
                 let open = r.open().is_some();
+                let awaited = self.open_job(&id).map_or(Vec::new(), |s| s.awaits.clone());
                 if keep(&mut self.jobs, id.clone(), r, stamp) {
-                    self.note_waiting(&id);
+                    self.job_changed(&id, awaited);
                     match open {
                         true => self.open.insert(id),
                         false => self.open.remove(&id),
@@ -809,6 +905,11 @@
             (Key::Hire(n), Record::Hire(r)) => {
                 keep(&mut self.hires, n, r, stamp);
             }
+            (Key::Format(node), Record::Format(r)) => {
+                keep(&mut self.formats, node, r, stamp);
+                // What was too large in the old format may fit in the new one.
+                self.barred.clear();
+            }
             _ => {}
         }
     }
@@ -818,10 +919,11 @@
             Key::Types => drop_older(&mut self.types, &(), stamp),
             Key::Fleet => drop_older(&mut self.fleet, &(), stamp),
             Key::Job(id) => {
+                let awaited = self.open_job(id).map_or(Vec::new(), |s| s.awaits.clone());
                 drop_older(&mut self.jobs, id, stamp);
                 if !self.jobs.contains_key(id) {
                     self.open.remove(id);
-                    self.waiting.remove(id);
+                    self.job_changed(id, awaited);
                 }
             }
             Key::Chunk(id, n) => {
@@ -846,6 +948,7 @@
             }
             Key::Team(id) => drop_older(&mut self.teams, id, stamp),
             Key::Hire(n) => drop_older(&mut self.hires, n, stamp),
+            Key::Format(node) => drop_older(&mut self.formats, node, stamp),
         }
     }
     fn keys(&self) -> Vec<Key> {
@@ -862,6 +965,7 @@
             .chain(self.machines.keys().cloned().map(Key::Machine))
             .chain(self.teams.keys().cloned().map(Key::Team))
             .chain(self.hires.keys().copied().map(Key::Hire))
+            .chain(self.formats.keys().cloned().map(Key::Format))
             .collect()
     }
     /// After a full reading that began at `epoch`: what it did not hold is gone, unless it
@@ -887,6 +991,8 @@
     pub conditions: Vec<(Key, u64)>,
     /// `None` removes the key.
     pub changes: Vec<(Key, Option<Record>)>,
+    /// The format in which the records are stored.
+    pub format: u32,
 }
 
 /// Builds a transaction over the cached records. Whatever is read through it becomes a
@@ -976,6 +1082,9 @@
         fresh: impl FnOnce() -> Option<ChunkRecord>,
     ) -> Option<&mut ChunkRecord> {
         let key = Key::Chunk(job.to_string(), n);
+        if self.cache.barred(&key) {
+            return None;
+        }
         if !self.changes.contains_key(&key) {
             let chunk = self.cache.chunk(job, n).cloned().or_else(fresh)?;
             self.put(key.clone(), Record::Chunk(chunk));
@@ -986,6 +1095,9 @@
         }
     }
     pub fn put(&mut self, key: Key, record: Record) {
+        if matches!(key, Key::Machine(_)) && self.cache.barred(&key) {
+            return;
+        }
         self.rests_on(key.clone());
         self.bytes += match &record {
             Record::Chunk(c) => c.size(),
@@ -1038,8 +1150,41 @@
     pub fn grow(&mut self, bytes: usize) {
         self.bytes += bytes;
     }
+    /// Takes out chunks that have become too large for a value, and names them with their size.
+    /// A chunk that a version before format 2 stored beyond the smaller of two limits is written
+    /// again in that format as long as it does not grow: the larger limit holds while such a
+    /// version serves. All else in the transaction goes ahead.
+    pub fn drop_oversized(&mut self, value_bytes: u64) -> Vec<(Key, usize)> {
+        let format = self.cache.format();
+        let mut large = Vec::new();
+        for (key, change) in &self.changes {
+            let (Key::Chunk(job, n), Some(Record::Chunk(c))) = (key, change) else {
+                continue;
+            };
+            if c.size() as u64 <= value_bytes {
+                continue;
+            }
+            let bytes = |c: &ChunkRecord| {
+                let record = Record::Chunk(c.clone());
+                formats::stored_bytes(&record, format)
+            };
+            let now = bytes(c);
+            let before = match format {
+                formats::OLDEST => self.cache.chunk(job, *n).map_or(0, bytes),
+                _ => 0,
+            };
+            if now > before.max(value_bytes as usize) {
+                large.push((key.clone(), now));
+            }
+        }
+        for (key, _) in &large {
+            self.changes.remove(key);
+        }
+        large
+    }
     pub fn finish(self) -> Txn {
         Txn {
+            format: self.cache.format(),
             conditions: self.conditions.into_iter().collect(),
             changes: self.changes.into_iter().collect(),
         }
--- a/crates/core/src/rentals.rs
+++ b/crates/core/src/rentals.rs
@@ -1,6 +1,7 @@
 //! Dealings with the cloud: its types and lists, rentals and deletions under way.
 
 use crate::constants::*;
+use crate::formats;
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
@@ -77,7 +78,7 @@
             return;
         }
         let record = Record::Types(TypesRecord { types });
-        if record.value().to_string().len() as u64 > self.settings.value_bytes {
+        if formats::stored_bytes(&record, formats::LATEST) as u64 > self.settings.value_bytes {
             return; // more types than a value holds: each node reads them from the cloud
         }
         let mut draft = Draft::new(&self.cache);
@@ -123,15 +124,25 @@
             let mut fleet = draft.fleet();
             fleet.refused.retain(|_, until| *until > wall);
             fleet.refused.insert(hire.offer(), wall + REFUSED_MS);
+            // A hint: what there is no room for is asked once more than needed.
+            let most = self.settings.value_bytes as usize;
+            while formats::stored_bytes(&Record::Fleet(fleet.clone()), formats::LATEST) > most
+                && fleet.refused.pop_first().is_some()
+            {}
             draft.put(Key::Fleet, Record::Fleet(fleet));
         }
         if hosts.is_empty() {
             draft.remove(Key::Hire(n));
         } else {
-            let hire = HireRecord {
+            let mut hire = HireRecord {
                 hosts: Some(hosts),
                 ..hire
             };
+            // Machines whose names find no room are taken up when they report or are listed.
+            let most = self.settings.value_bytes as usize;
+            while formats::stored_bytes(&Record::Hire(hire.clone()), formats::LATEST) > most
+                && hire.hosts.as_mut().and_then(Vec::pop).is_some()
+            {}
             draft.put(Key::Hire(n), Record::Hire(hire));
         }
         let txn = draft.finish();
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -68,7 +68,7 @@
         };
         let mut full = false;
         for (task, attempt, outcome) in self.results_in_turn() {
-            if !room(&draft, 3) {
+            if !room(&draft, claims::release_changes(&draft, task, outcome)) {
                 full = true;
                 break;
             }
@@ -137,7 +137,9 @@
                 }
             }
         }
+        let large = draft.drop_oversized(self.settings.value_bytes);
         if draft.is_empty() {
+            self.too_large(large);
             return;
         }
         self.lookup_next = true;
@@ -145,6 +147,7 @@
         self.writing = true;
         let txn = draft.finish();
         self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
+        self.too_large(large);
     }
 
     /// Changes that must be left for the next transaction: more while much waits to be recorded.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -2,6 +2,7 @@
 //! outcomes of transactions.
 
 use crate::constants::*;
+use crate::formats;
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
@@ -200,11 +201,7 @@
             }
         }
         if let (StateAnswer::Refused, Some(txn)) = (&answer, &txn) {
-            tracing::error!(
-                ?purpose,
-                changes = txn.changes.len(),
-                "transaction was malformed"
-            );
+            self.refused(&purpose, txn);
         }
         if let (StateAnswer::Conflict { .. }, true) = (&answer, txn.is_some()) {
             self.stats.conflicts += 1;
@@ -245,6 +242,10 @@
                     self.loaded_page(answer);
                 }
             }
+            Purpose::Ask(request) if answer == StateAnswer::Refused => {
+                let reply = self.later();
+                self.answer(request, reply);
+            }
             Purpose::Ask(request) => self.ask_committed(request, committed),
             Purpose::Flush { armed, returning } => {
                 self.written(&answer);
@@ -303,12 +304,38 @@
             Purpose::Finish(id) => {
                 self.finishing.remove(&id);
             }
+            Purpose::Cascade(jobs) => {
+                self.cascade_busy = false;
+                for id in jobs.iter().filter(|_| committed) {
+                    tracing::info!(job = id, "cancelled with a job that it needs");
+                }
+            }
+            Purpose::Format => self.format_busy = false,
             Purpose::Sweep => self.sweep_busy = false,
             Purpose::Term => self.term_busy = false,
             Purpose::Hire(_) | Purpose::Delete(_) | Purpose::Types | Purpose::Hosts => {}
         }
     }
 
+    /// The state service took a transaction for malformed: a record has most likely outgrown its
+    /// limit. The largest is named and left alone until somebody has changed it, so that the same
+    /// transaction is not sent for ever and the others in it go ahead.
+    fn refused(&mut self, purpose: &Purpose, txn: &Txn) {
+        let size = |record: &Option<Record>| {
+            let record = record.as_ref();
+            record.map_or(0, |r| formats::stored_bytes(r, txn.format))
+        };
+        let sized = txn.changes.iter().map(|(key, r)| (size(r), key));
+        let Some((bytes, key)) = sized.max_by_key(|(bytes, _)| *bytes) else {
+            return;
+        };
+        let (changes, path) = (txn.changes.len(), key.path());
+        tracing::error!(?purpose, changes, key = path, bytes, "transaction refused");
+        if matches!(key, Key::Chunk(..) | Key::Machine(_)) {
+            self.cache.bar(key.clone());
+        }
+    }
+
     /// When to try again what did not commit: once the watch has brought what stood in the
     /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
     fn written(&mut self, answer: &StateAnswer) {
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -1,5 +1,7 @@
 //! Ending jobs of several chunks, and clearing what nothing needs any more.
 
+use crate::constants::*;
+use crate::model::*;
 use crate::node::*;
 use crate::records::*;
 
@@ -24,6 +26,49 @@
         }
     }
 
+    /// Cancels on record what needs a cancelled job. The node that was asked does so at once; the
+    /// others follow should it not have. Until then such jobs are answered as cancelled all the
+    /// same, so nothing depends on how soon that is.
+    pub(crate) fn cascade(&mut self) {
+        let doomed = self.cache.dependents().doomed();
+        self.doomed_since.retain(|id, _| doomed.contains(id));
+        for id in doomed {
+            if !self.doomed_since.contains_key(id) {
+                self.doomed_since.insert(id.clone(), self.now);
+            }
+        }
+        let patience = CASCADE_PATIENCE_MS + self.settings.node_index() * NODE_STAGGER_MS;
+        let late = |since: &Millis| self.now >= since + patience;
+        if self.doomed_since.values().any(late) {
+            self.cancel_doomed();
+        }
+    }
+
+    pub(crate) fn cancel_doomed(&mut self) {
+        let most = self.writes_left().min(self.settings.txn_ops);
+        if self.cascade_busy || most == 0 || !self.state_ok() {
+            return;
+        }
+        let mut draft = Draft::limited(&self.cache, most);
+        let mut jobs = Vec::new();
+        for id in self.cache.dependents().doomed() {
+            let Some(job) = self.cache.job(id) else {
+                continue;
+            };
+            if !draft.has_room(&self.settings, 1, 1, SMALL_RECORD_BYTES) {
+                break;
+            }
+            let over = job.over(Phase::Cancelled, self.wall);
+            draft.put(Key::Job(id.clone()), Record::Job(over));
+            jobs.push(id.clone());
+        }
+        if !jobs.is_empty() {
+            let txn = draft.finish();
+            self.cascade_busy = true;
+            self.commit(txn, Purpose::Cascade(jobs), Priority::Result);
+        }
+    }
+
     /// Removes chunks and places of jobs that are over.
     pub(crate) fn sweep(&mut self) {
         if self.sweep_busy {
@@ -36,13 +81,13 @@
                 continue;
             }
             for (n, _) in self.cache.chunks_of(job) {
-                if draft.ops() < self.settings.txn_ops / 2 {
+                if draft.ops() < self.settings.txn_ops.div_ceil(2) {
                     draft.remove(Key::Chunk(job.to_string(), n));
                 }
             }
         }
         for (job, _, _) in self.cache.places() {
-            if draft.ops() < self.settings.txn_ops / 2
+            if draft.ops() < self.settings.txn_ops.div_ceil(2)
                 && self.cache.job(job).is_some_and(|j| j.phase != Phase::Open)
             {
                 draft.remove(Key::Place(job.to_string()));
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -278,6 +278,22 @@
     w.until(11_500, "runs elsewhere", |w| w.running("j-1") == 1);
 }
 
+#[test]
+fn a_machine_that_dies_while_all_nodes_are_away_is_found() {
+    // None of them has heard of it since, so none knows its session.
+    let mut w = kept(24, 3, 2);
+    w.submit(0, job("j-1", 1));
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let machine = w.machine_of("j-1").unwrap();
+    for n in 0..3 {
+        w.crash(n, 4_000);
+    }
+    w.kill_machine(&machine);
+    w.until(60_000, "done elsewhere", |w| done(w, "j-1"));
+    assert!(w.deleted.contains(&machine));
+    w.check_records();
+}
+
 #[test]
 fn a_node_that_restarts_makes_no_machine_seem_silent() {
     // Its first beat has heard of nothing. Siblings must remember what it said before.
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -3,6 +3,9 @@
 
 #![allow(dead_code)]
 
+pub mod old;
+
+use glenmount_core::formats::OLDEST;
 use glenmount_core::model::*;
 use glenmount_core::node::*;
 use glenmount_core::records::*;
@@ -43,6 +46,8 @@
 pub struct NodeSlot {
     pub node: Option<Node>,
     pub life: u32,
+    /// From this life on it has the new version; before, one that knows only format 1.
+    new_from: u32,
     pub cut_from_state: bool,
     pub cut_from_workers: bool,
     pub cut_from_peers: bool,
@@ -127,6 +132,13 @@
     pub epoch: u64,
     pub state_down: bool,
     pub conflicts: u32,
+    /// What the state service takes now, if not what the nodes keep to: bytes of a value and changes
+    /// of a transaction.
+    pub limits: Option<(u64, usize)>,
+    /// What nodes of the old version keep to.
+    pub old_limits: (u64, usize),
+    /// Transactions that were larger.
+    pub refused: u32,
     /// Transactions, and changes in them, whether they took effect or not.
     pub txns: u32,
     pub changes: u32,
@@ -178,12 +190,14 @@
         zones: vec!["east".into(), "west".into()],
         teams,
         goals: BTreeMap::from([("quick".to_string(), vec![60_000])]),
+        starts: BTreeMap::new(),
         report_ms: 1_500,
         lease_ms: 10_000,
         cancel_ms: 35_000,
         value_bytes: 8 * 1024,
         txn_ops: 16,
         write_rps: 50.0 / count as f64,
+        next_write_rps: 35.0 / count as f64,
         clock_off_ms: 1_000,
         idle_return_ms: 30_000,
         list_lag_ms: 4_000,
@@ -214,6 +228,15 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
+    }
+}
+
+/// A job that awaits others.
+pub fn after(id: &str, tasks: u32, awaits: &[&str]) -> JobSpec {
+    JobSpec {
+        awaits: awaits.iter().map(|a| a.to_string()).collect(),
+        ..job(id, tasks)
     }
 }
 
@@ -242,6 +265,61 @@
     }
 }
 
+/// What a node of the old version makes of records.
+fn seen_by_old(event: Event) -> Event {
+    match event {
+        Event::Watched { epoch, changes } => {
+            let seen = |(key, stamp, record): (Key, u64, Option<Record>)| match record {
+                Some(r) => Some((key.clone(), stamp, Some(old::record(&key, &r)?))),
+                None => Some((key, stamp, None)),
+            };
+            let changes = changes.into_iter().filter_map(seen).collect();
+            Event::Watched { epoch, changes }
+        }
+        Event::State {
+            token,
+            answer:
+                StateAnswer::Listed {
+                    items,
+                    last,
+                    more,
+                    epoch,
+                },
+        } => {
+            let seen = |(key, stamp, r): (Key, u64, Record)| {
+                let record = old::record(&key, &r)?;
+                Some((key, stamp, record))
+            };
+            let answer = StateAnswer::Listed {
+                items: items.into_iter().filter_map(seen).collect(),
+                last,
+                more,
+                epoch,
+            };
+            Event::State { token, answer }
+        }
+        event => event,
+    }
+}
+
+/// What a node of the old version sends: nothing of formats, and records in their old shape.
+fn sent_by_old(op: StateOp) -> Option<StateOp> {
+    let StateOp::Txn(mut txn) = op else {
+        return Some(op);
+    };
+    let format = |(key, _): &(Key, Option<Record>)| matches!(key, Key::Format(_));
+    if txn.changes.iter().any(format) {
+        return None;
+    }
+    txn.format = OLDEST;
+    for (key, record) in &mut txn.changes {
+        if let Some(r) = record {
+            *r = old::record(key, r).expect("what it writes is in its shape");
+        }
+    }
+    Some(StateOp::Txn(txn))
+}
+
 impl World {
     pub fn new(seed: u64, nodes: usize, machines: usize) -> World {
         let mut w = World {
@@ -257,6 +335,9 @@
             epoch: 0,
             state_down: false,
             conflicts: 0,
+            limits: None,
+            old_limits: (8 * 1024, 16),
+            refused: 0,
             txns: 0,
             changes: 0,
             hires: HashMap::new(),
@@ -284,6 +365,7 @@
             w.nodes.push(NodeSlot {
                 node: None,
                 life: 0,
+                new_from: 0,
                 cut_from_state: false,
                 cut_from_workers: false,
                 cut_from_peers: false,
@@ -302,6 +384,33 @@
         w
     }
 
+    /// One whose nodes all have the old version, on limits that will fall after an upgrade.
+    pub fn old(seed: u64, nodes: usize, machines: usize) -> World {
+        let mut w = World::new(seed, nodes, machines);
+        for slot in &mut w.nodes {
+            slot.new_from = u32::MAX;
+        }
+        w.limits = Some(w.old_limits);
+        (w.settings.value_bytes, w.settings.txn_ops) = (2 * 1024, 5);
+        w
+    }
+
+    /// Whether a node has the old version in that life.
+    fn is_old(&self, n: usize, life: u32) -> bool {
+        life < self.nodes[n].new_from
+    }
+
+    /// Ends a node, which comes back with the new version.
+    pub fn upgrade(&mut self, n: usize, back_after: u64) {
+        self.crash(n, back_after);
+        self.nodes[n].new_from = self.nodes[n].life.min(self.nodes[n].new_from);
+    }
+
+    /// The limits of the state service fall to those announced.
+    pub fn limits_fall(&mut self) {
+        self.limits = None;
+    }
+
     fn at(&mut self, delay: u64, act: Act) {
         self.sequence += 1;
         self.queue.insert((self.now + delay, self.sequence), act);
@@ -426,6 +535,20 @@
         panic!("request {request} was never answered");
     }
 
+    /// All jobs that a job needs, directly or through others.
+    fn upstream(&self, id: &str) -> BTreeSet<String> {
+        let mut found = BTreeSet::new();
+        let mut next = vec![id.to_string()];
+        while let Some(id) = next.pop() {
+            for awaited in self.specs.get(&id).iter().flat_map(|s| &s.awaits) {
+                if found.insert(awaited.clone()) {
+                    next.push(awaited.clone());
+                }
+            }
+        }
+        found
+    }
+
     fn user_told(&mut self, request: RequestId, reply: UserReply) {
         let Some((_, id)) = self.asked.remove(&request) else {
             return;
@@ -438,6 +561,11 @@
                 })
             })
         });
+        let upstream = self.upstream(&id);
+        let above = || upstream.iter().filter_map(|a| self.told.get(a));
+        let asked_above = above().any(|t| t.asked_cancel);
+        let cancelled_above = above().filter_map(|t| t.cancelled_at).min();
+        let (now, cancel_ms) = (self.now, self.settings.cancel_ms);
         let told = self.told.entry(id.clone()).or_default();
         match &reply {
             UserReply::Accepted { .. } => told.accepted = true,
@@ -451,10 +579,13 @@
                     assert!(!told.done, "went_back: {id} was done, now {state:?}");
                 }
                 if *state == JobState::Cancelled {
-                    assert!(told.asked_cancel, "went_back: {id} cancelled by nobody");
-                    told.cancelled_at.get_or_insert(self.now);
+                    let asked = told.asked_cancel || asked_above;
+                    assert!(asked, "went_back: {id} cancelled by nobody");
+                    told.cancelled_at.get_or_insert(now);
                 } else {
                     assert!(told.cancelled_at.is_none(), "went_back: {id} was cancelled");
+                    let orphaned = cancelled_above.is_some_and(|at| now > at + cancel_ms);
+                    assert!(!orphaned, "orphaned: {id} is called {state:?}");
                 }
                 told.accepted = true;
             }
@@ -479,6 +610,14 @@
                 );
             }
         }
+        for awaited in &spec.awaits {
+            let tasks = self.specs.get(awaited).map_or(0, |s| s.tasks);
+            let done = (0..tasks).all(|index| {
+                let job = awaited.clone();
+                self.done_tasks.contains(&TaskId { job, index })
+            });
+            assert!(tasks > 0 && done, "too_early: {task} before {awaited}");
+        }
         assert!(
             spec.allows(&w.type_name, &w.zone, w.spot),
             "wrong_place: {task} on {machine}"
@@ -542,10 +681,6 @@
                 c.first + c.tasks.len() as u32 <= j.tasks,
                 "{id}: too many tasks"
             );
-            assert!(
-                c.size() as u64 <= self.settings.value_bytes,
-                "{id}: too large"
-            );
             for (index, b) in c.booked() {
                 assert!(
                     self.store.contains_key(&Key::Machine(b.machine.clone())),
@@ -639,11 +774,16 @@
             self.nodes[n].backlog.push(event);
             return;
         }
-        let Some(node) = self.nodes[n].node.as_mut() else {
+        let slot = &mut self.nodes[n];
+        let (life, old) = (slot.life, slot.life < slot.new_from);
+        let Some(node) = slot.node.as_mut() else {
             return;
         };
+        let event = match old {
+            true => seen_by_old(event),
+            false => event,
+        };
         let effects = node.handle(now, wall, event);
-        let life = self.nodes[n].life;
         for effect in effects {
             match effect {
                 Effect::User { request, reply } => self.user_told(request, reply),
@@ -665,6 +805,11 @@
                     }
                 }
                 Effect::State { token, op, .. } => {
+                    let Some(op) = (if old { sent_by_old(op) } else { Some(op) }) else {
+                        let answer = StateAnswer::Unavailable;
+                        self.at(5, Act::Node(n, life, Event::State { token, answer }));
+                        continue;
+                    };
                     self.nodes[n].sent += u32::from(matches!(op, StateOp::Txn(_)));
                     if self.nodes[n].cut_from_state {
                         let event = Event::State {
@@ -760,7 +905,7 @@
         self.at(delay, Act::State(n, life, token, op, fate));
     }
 
-    fn execute(&mut self, op: StateOp) -> StateAnswer {
+    fn execute(&mut self, op: StateOp, old: bool) -> StateAnswer {
         match op {
             StateOp::Proof => {
                 self.proofs += 1;
@@ -786,11 +931,38 @@
             StateOp::Txn(txn) => {
                 self.txns += 1;
                 self.changes += txn.changes.len() as u32;
-                assert!(
-                    txn.changes.len() <= self.settings.txn_ops,
-                    "too many changes"
-                );
-                assert!(txn.conditions.len() <= self.settings.txn_ops * 4);
+                let (value_bytes, txn_ops) = match old {
+                    true => self.old_limits,
+                    false => (self.settings.value_bytes, self.settings.txn_ops),
+                };
+                assert!(txn.changes.len() <= txn_ops, "too many changes");
+                assert!(txn.conditions.len() <= txn_ops * 4, "too many conditions");
+                let all_new = !(0..self.nodes.len()).any(|n| self.is_old(n, self.nodes[n].life));
+                let (most, most_ops) = self.limits.unwrap_or((value_bytes, txn_ops));
+                let mut refused = txn.changes.len() > most_ops;
+                for (key, record) in &txn.changes {
+                    let Some(record) = record else { continue };
+                    let value = record.value(txn.format);
+                    let size = value.to_string().len() as u64;
+                    let before = self
+                        .store
+                        .get(key)
+                        .map_or(0, |(r, _)| r.value(OLDEST).to_string().len() as u64);
+                    // A chunk of the old version's may be written as large as it is.
+                    let shrinks = txn.format == OLDEST && size <= before && !all_new;
+                    assert!(
+                        size <= value_bytes || shrinks,
+                        "{key:?} has {size} bytes, had {before}"
+                    );
+                    refused |= size > most;
+                    let plain = old::value(key, value.clone()) == Some(value);
+                    let kept = plain || matches!(key, Key::Format(_));
+                    assert!(all_new || kept, "{key:?} is not in the old shape");
+                }
+                if refused {
+                    self.refused += 1;
+                    return StateAnswer::Refused;
+                }
                 let holds = txn
                     .conditions
                     .iter()
@@ -803,15 +975,10 @@
                 let epoch = self.epoch;
                 for (key, record) in txn.changes {
                     // Through JSON, as on the wire.
-                    let record = record.map(|r| {
-                        let value = r.value();
-                        let size = value.to_string().len() as u64;
-                        assert!(
-                            size <= self.settings.value_bytes,
-                            "{key:?} has {size} bytes"
-                        );
-                        Record::read(&key, value).expect("a record reads back")
-                    });
+                    if let Some(r) = &record {
+                        let back = Record::read(&key, r.value(txn.format));
+                        assert_eq!(back.as_ref(), Some(r), "a record reads back");
+                    }
                     match &record {
                         Some(r) => {
                             self.store.insert(key.clone(), (r.clone(), epoch));
@@ -837,6 +1004,9 @@
             Act::Restart(n) => {
                 let mut settings = self.settings.clone();
                 settings.node = self.settings.nodes[n].clone();
+                if self.is_old(n, self.nodes[n].life) {
+                    (settings.value_bytes, settings.txn_ops) = self.old_limits;
+                }
                 let seed = self.rng.gen();
                 let node = Node::new(settings, seed, self.now, WALL0 + self.now);
                 self.nodes[n].node = Some(node);
@@ -879,7 +1049,7 @@
                 let down = self.state_down;
                 let answer = match down {
                     true => StateAnswer::Unavailable,
-                    false => self.execute(op),
+                    false => self.execute(op, self.is_old(n, life)),
                 };
                 if fate == Fate::Normal {
                     let event = Event::State { token, answer };
--- /dev/null
+++ b/crates/core/tests/world/old.rs
@@ -0,0 +1,214 @@
+//! The shapes in which the version before format 2 stores records, copied as it had them. What a
+//! node of that version reads and writes goes through them: it passes over fields it does not know
+//! and drops them when it writes a record anew.
+
+use glenmount_core::formats::OLDEST;
+use glenmount_core::records::{Key, Record};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Serialize, Deserialize)]
+enum Phase {
+    Open,
+    Done,
+    Cancelled,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Shape {
+    Array,
+    Service,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Rank {
+    Low,
+    Normal,
+    High,
+    Production,
+}
+
+#[derive(Default, Serialize, Deserialize)]
+struct Room {
+    c: u64,
+    #[serde(default)]
+    g: u64,
+    r: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Spec {
+    id: String,
+    class: String,
+    team: String,
+    shape: Shape,
+    rank: Rank,
+    tasks: u32,
+    need: Room,
+    image: String,
+    image_gb: f64,
+    types: Option<Vec<String>>,
+    zone: Option<String>,
+    together: bool,
+    scatter: bool,
+    spot: bool,
+    estimate_s: f64,
+    checkpoint_s: f64,
+    save_s: f64,
+    deadline_s: Option<f64>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Job {
+    phase: Phase,
+    tasks: u32,
+    chunk: u32,
+    at: u64,
+    #[serde(default)]
+    ended: u64,
+    spec: Option<Box<Spec>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Booking {
+    m: String,
+    a: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    s: Option<(u64, u64)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    d: Option<(u64, u64)>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    x: Option<String>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Task {
+    #[serde(rename = "w")]
+    Waiting,
+    #[serde(rename = "d")]
+    Done,
+    #[serde(rename = "b")]
+    Booked(Booking),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    i: u32,
+    t: Vec<Task>,
+    #[serde(default)]
+    o: String,
+    #[serde(default)]
+    u: Room,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    f: Vec<String>,
+    #[serde(default)]
+    n: u32,
+    #[serde(default)]
+    p: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Place {
+    zones: BTreeMap<String, u32>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum MachinePhase {
+    Booting,
+    Up,
+    Draining,
+    Returning,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Machine {
+    #[serde(rename = "type")]
+    type_name: String,
+    zone: String,
+    spot: bool,
+    phase: MachinePhase,
+    at: u64,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    faults: Vec<String>,
+    #[serde(default)]
+    raised: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Team {
+    cpus: u64,
+    gpus: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Hire {
+    #[serde(rename = "type")]
+    type_name: String,
+    zone: String,
+    spot: bool,
+    count: u32,
+    node: String,
+    at: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    hosts: Option<Vec<String>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Fleet {
+    next: u64,
+    #[serde(default)]
+    refused: BTreeMap<String, u64>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Term {
+    term: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Types {
+    types: Vec<Type>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Type {
+    name: String,
+    room: Room,
+    cache_gb: f64,
+    fetch_gb_per_s: f64,
+    price: f64,
+    spot_price: f64,
+    boot_s: f64,
+    zones: Vec<String>,
+}
+
+fn through<T: Serialize + DeserializeOwned>(value: Value) -> Option<Value> {
+    let old: T = serde_json::from_value(value).ok()?;
+    serde_json::to_value(old).ok()
+}
+
+/// A value as that version reads it and would write it again; none for what it can't read.
+pub fn value(key: &Key, value: Value) -> Option<Value> {
+    match key {
+        Key::Term => through::<Term>(value),
+        Key::Types => through::<Types>(value),
+        Key::Fleet => through::<Fleet>(value),
+        Key::Job(_) => through::<Job>(value),
+        Key::Chunk(..) => through::<Chunk>(value),
+        Key::Place(_) => through::<Place>(value),
+        Key::Machine(_) => through::<Machine>(value),
+        Key::Team(_) => through::<Team>(value),
+        Key::Hire(_) => through::<Hire>(value),
+        // A kind of key that it does not know is none of its records.
+        Key::Format(_) => None,
+    }
+}
+
+pub fn record(key: &Key, record: &Record) -> Option<Record> {
+    Record::read(key, value(key, record.value(OLDEST))?)
+}
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -77,6 +77,15 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: u32,
+    /// Limits announced for some moment after an upgrade.
+    next: Option<NextLimits>,
+}
+
+#[derive(Debug, Deserialize)]
+struct NextLimits {
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<u32>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -200,10 +209,19 @@
         )?;
     }
     let mut goals: BTreeMap<String, Vec<u64>> = BTreeMap::new();
-    for o in p.objectives.iter().filter(|o| o.kind == "finished") {
-        if let (Some(class), Some(within_s)) = (&o.class, o.within_s) {
-            let within = seconds("settings.objectives.within_s", within_s, 0.0)?;
-            goals.entry(class.clone()).or_default().push(within);
+    let mut starts: BTreeMap<String, u64> = BTreeMap::new();
+    for o in &p.objectives {
+        let (Some(class), Some(within_s)) = (&o.class, o.within_s) else {
+            continue;
+        };
+        let within = || seconds("settings.objectives.within_s", within_s, 0.0);
+        match o.kind.as_str() {
+            "finished" => goals.entry(class.clone()).or_default().push(within()?),
+            "wait" => {
+                let start = starts.entry(class.clone()).or_insert(u64::MAX);
+                *start = within()?.min(*start);
+            }
+            _ => {}
         }
     }
     goals.values_mut().for_each(|g| g.sort());
@@ -220,16 +238,33 @@
         "settings.clock_off_ms",
         "must be between 0 and 3600000",
     )?;
-    check(
-        p.state.txn_ops >= 6,
-        "settings.state.txn_ops",
-        "must be at least 6: a claim writes four records",
-    )?;
-    check(
-        p.state.value_kb.is_finite() && (4.0..=1024.0).contains(&p.state.value_kb),
-        "settings.state.value_kb",
-        "must be between 4 and 1024",
-    )?;
+    let ops = |field: &str, ops: u32| {
+        let rule = format!("must be at least {TXN_OPS_LEAST}: a claim writes three records");
+        check(ops >= TXN_OPS_LEAST, field, &rule)
+    };
+    let kib = |field: &str, kb: f64| {
+        let rule = format!("must be between {VALUE_KB_LEAST} and 1024");
+        let ok = kb.is_finite() && (VALUE_KB_LEAST..=1024.0).contains(&kb);
+        check(ok, field, &rule)
+    };
+    let now = &p.state;
+    ops("settings.state.txn_ops", now.txn_ops)?;
+    kib("settings.state.value_kb", now.value_kb)?;
+    let write_rps = rate("settings.state.write_rps", now.write_rps)?;
+    let (mut txn_ops, mut value_kb, mut next_rps) = (now.txn_ops, now.value_kb, write_rps);
+    if let Some(next) = &now.next {
+        if let Some(n) = next.txn_ops {
+            ops("settings.state.next.txn_ops", n)?;
+            txn_ops = txn_ops.min(n);
+        }
+        if let Some(kb) = next.value_kb {
+            kib("settings.state.next.value_kb", kb)?;
+            value_kb = value_kb.min(kb);
+        }
+        if let Some(rps) = next.write_rps {
+            next_rps = next_rps.min(rate("settings.state.next.write_rps", rps)?);
+        }
+    }
     check(
         p.quota.sockets >= 32,
         "settings.quota.sockets",
@@ -248,12 +283,14 @@
             zones: p.zones.clone(),
             teams,
             goals,
+            starts,
             report_ms,
             lease_ms,
             cancel_ms,
-            value_bytes: (p.state.value_kb * 1024.0) as u64,
-            txn_ops: p.state.txn_ops as usize,
-            write_rps: rate("settings.state.write_rps", p.state.write_rps)? * share,
+            value_bytes: (value_kb * 1024.0) as u64,
+            txn_ops: txn_ops as usize,
+            write_rps: write_rps * share,
+            next_write_rps: next_rps * share,
             clock_off_ms: p.clock_off_ms as u64,
             idle_return_ms,
             list_lag_ms,
@@ -269,7 +306,7 @@
         state: file.outside.state,
         state_rps: rate("settings.state.rps", p.state.rps)? * share,
         // The core keeps its share, and takes that of siblings that can't use theirs.
-        state_write_rps: rate("settings.state.write_rps", p.state.write_rps)?,
+        state_write_rps: write_rps,
         // Mostly a single node deals with the cloud; when several do, a refusal is asked again.
         cloud_rps: rate("settings.cloud.rps", p.cloud.rps)? * share.max(CLOUD_SHARE),
         sockets: p.quota.sockets,
@@ -332,7 +369,17 @@
             ("rps = 100.0", "", "rps"),
             ("lease_s = 12.0", "lease_s = -1.0", "lease_s"),
             ("count = 2", "count = 3", "siblings"),
-            ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
+            ("txn_ops = 16", "txn_ops = 2", "settings.state.txn_ops"),
+            (
+                "value_kb = 8.0",
+                "value_kb = 8.0\n next = { value_kb = 0.5 }",
+                "settings.state.next.value_kb",
+            ),
+            (
+                "value_kb = 8.0",
+                "value_kb = 8.0\n next = { txn_ops = 2 }",
+                "settings.state.next.txn_ops",
+            ),
             (
                 "cpus_max = 4.0",
                 "cpus_max = nan",
@@ -346,6 +393,18 @@
         }
     }
 
+    #[test]
+    fn announced_limits_count_from_the_start_where_they_are_smaller() {
+        let next = "value_kb = 8.0\n next = { value_kb = 2.0, txn_ops = 40, write_rps = 30.0 }";
+        let c = config(
+            &SAMPLE.replace("value_kb = 8.0", next),
+            &Operator::default(),
+        )
+        .unwrap();
+        assert_eq!((c.core.value_bytes, c.core.txn_ops), (2_048, 16));
+        assert_eq!((c.core.write_rps, c.core.next_write_rps), (20.0, 15.0));
+    }
+
     #[test]
     fn operators_settings_are_xml_and_checked() {
         let xml = "<operator-settings><idle-return-s>90</idle-return-s></operator-settings>";
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -58,7 +58,7 @@
         .changes
         .iter()
         .map(|(k, record)| match record {
-            Some(r) => json!({"put": k.path(), "v": r.value()}),
+            Some(r) => json!({"put": k.path(), "v": r.value(txn.format)}),
             None => json!({"remove": k.path()}),
         })
         .collect();
--- a/crates/glenmount/src/wire.rs
+++ b/crates/glenmount/src/wire.rs
@@ -5,6 +5,7 @@
 use glenmount_core::node::{UserReply, WorkerReply};
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::{json, Value};
+use std::collections::BTreeSet;
 
 /// A field that must be there, but may be null.
 fn present<'de, D: Deserializer<'de>, T: Deserialize<'de>>(d: D) -> Result<Option<T>, D::Error> {
@@ -42,6 +43,8 @@
     flush_s: f64,
     #[serde(rename = "dueS", default, deserialize_with = "present")]
     due_s: Option<f64>,
+    #[serde(default, deserialize_with = "present")]
+    awaits: Option<Vec<String>>,
 }
 
 pub fn job_id(s: &str) -> bool {
@@ -81,7 +84,12 @@
     if s.flavours.as_ref().is_some_and(|f| f.len() > 100) {
         return Err("flavours is too long".into());
     }
+    let awaits: BTreeSet<String> = s.awaits.into_iter().flatten().collect();
+    if !awaits.iter().all(|id| job_id(id)) {
+        return Err("awaits holds a malformed id".into());
+    }
     Ok(JobSpec {
+        awaits: awaits.into_iter().collect(),
         class: text("jobclass", &s.jobclass)?,
         team: text("owner", &s.owner)?,
         shape: match s.shape.as_str() {
@@ -186,6 +194,10 @@
     if c.host.is_empty() || c.host.len() > 100 || c.address.len() > 100 {
         return Err("host or address is empty or too long".into());
     }
+    // They stand in the machine's record.
+    if c.flavour.len() > 200 || c.yard.len() > 200 {
+        return Err("flavour or yard is too long".into());
+    }
     if c.drops.len() > REPORT_TASKS {
         return Err("too many drops".into());
     }
@@ -405,6 +417,9 @@
             ("expectS", Value::Null),
             ("flavours", json!("g8")),
             ("dueS", json!("soon")),
+            ("awaits", json!("j-1")),
+            ("awaits", json!([1])),
+            ("awaits", json!(["j-1", "x-2"])),
         ];
         for (field, value) in faults {
             let mut body = good();
@@ -422,6 +437,14 @@
             body[field] = json!(0);
             assert!(submission(body.to_string().as_bytes()).is_ok(), "{field}");
         }
+        let awaits = |value: Value| {
+            let mut body = good();
+            body["awaits"] = value;
+            submission(body.to_string().as_bytes()).unwrap().awaits
+        };
+        assert!(spec.awaits.is_empty() && awaits(Value::Null).is_empty());
+        assert!(awaits(json!([])).is_empty());
+        assert_eq!(awaits(json!(["j-2", "j-1", "j-2"])), ["j-1", "j-2"]);
         for field in ["nameId", "drops", "scatter", "flushS"] {
             let mut body = good();
             body.as_object_mut().unwrap().remove(field);
