Stories of pipelines and of rolling upgrades; beats may grow; refused records are tried anew

Two more files of stories: pipelines (12) and upgrade (12), the latter with nodes that see and write only the shapes of the version before format 2, samples that version wrote, and the limits falling. A beat's reader passes over what a later version adds; production's refuses a longer frame (measured: 'array had incorrect length, expected 7'), so beats stay as they are.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -43,6 +43,8 @@
 pub const VALUE_SPARE_BYTES: usize = 48;
 /// Records remembered as too large for the state service.
 pub const BARRED_KEPT: usize = 1_000;
+/// Milliseconds after which they are tried once more.
+pub const BARRED_MS: u64 = 30_000;
 /// Bytes of a machine's name, as far as a rental's record allows for it: known ones take 8.
 pub const MACHINE_NAME_BYTES: u64 = 24;
 /// Bytes of any other record in a transaction, its key included.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -401,6 +401,7 @@
     pub(crate) format_logged: Option<(u32, usize)>,
     /// Records logged as too large for a value.
     pub(crate) large_logged: BTreeSet<Key>,
+    pub(crate) unbarred_at: Millis,
     pub(crate) list_at: Millis,
     pub(crate) list_busy: bool,
     pub(crate) sweep_busy: bool,
@@ -511,6 +512,7 @@
             format_busy: false,
             format_logged: None,
             large_logged: BTreeSet::new(),
+            unbarred_at: now,
             list_at: now + LIST_MS,
             list_busy: false,
             sweep_busy: false,
@@ -871,6 +873,10 @@
             self.commit(txn, Purpose::Term, Priority::User);
         }
         self.note_format();
+        if self.now >= self.unbarred_at + BARRED_MS {
+            self.unbarred_at = self.now;
+            self.cache.unbar();
+        }
         if self.now >= self.forgot_at + FORGET_MS {
             self.forgot_at = self.now;
             if self.now >= self.started + STATS_MS {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -610,6 +610,10 @@
             self.barred.insert(key, stamp);
         }
     }
+    /// Refused records are tried once more: the limits may have been raised.
+    pub fn unbar(&mut self) {
+        self.barred.clear();
+    }
     /// Whether that holds: once somebody has changed it, it is tried again.
     pub fn barred(&self, key: &Key) -> bool {
         let at = self.barred.get(key);
@@ -908,7 +912,7 @@
             (Key::Format(node), Record::Format(r)) => {
                 keep(&mut self.formats, node, r, stamp);
                 // What was too large in the old format may fit in the new one.
-                self.barred.clear();
+                self.unbar();
             }
             _ => {}
         }
--- /dev/null
+++ b/crates/core/tests/upgrade.rs
@@ -0,0 +1,524 @@
+//! Stories of a rolling upgrade: nodes of the version before format 2 beside new ones, on the same
+//! records, and the state service's limits falling afterwards. The world lets old nodes see and
+//! write only the shapes they know, and checks that until all are new nothing else is written.
+
+mod world;
+
+use glenmount_core::constants::*;
+use glenmount_core::formats::{self, FormatRecord};
+use glenmount_core::model::*;
+use glenmount_core::node::*;
+use glenmount_core::records::*;
+use rand::Rng;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use world::*;
+
+fn phase(w: &World, id: &str, phase: Phase) -> bool {
+    w.job_phase(id) == Some(phase)
+}
+
+fn upgraded(w: &World) -> bool {
+    let formats = w.store.keys().filter(|k| matches!(k, Key::Format(_)));
+    formats.count() == w.nodes.len()
+}
+
+/// Upgrades one node after another, `gap` milliseconds apart.
+fn roll(w: &mut World, gap: u64) {
+    for n in 0..w.nodes.len() {
+        w.upgrade(n, 2_000);
+        w.run(gap);
+    }
+    w.until(10_000, "upgraded", upgraded);
+}
+
+#[test]
+fn work_goes_on_through_a_roll_with_crashes_back_to_old_between() {
+    for seed in 0..6 {
+        let mut w = World::old(seed, 3, 6);
+        w.run(4_000);
+        let r = w.submit(0, service("j-1", 3));
+        w.answer(r);
+        for i in 2..8 {
+            let r = w.submit(i % 3, job(&format!("j-{i}"), 4));
+            w.answer(r);
+        }
+        w.upgrade(0, 2_000);
+        w.run(9_000);
+        // Not its turn yet: it comes back old.
+        w.crash(2, 2_000);
+        w.run(9_000);
+        let r = w.submit(0, after("j-8", 1, &["j-2"]));
+        assert!(
+            matches!(w.answer(r), UserReply::Later { after_s } if after_s > 1),
+            "an old node would start it at once"
+        );
+        w.upgrade(1, 2_000);
+        w.run(1_000);
+        w.crash(1, 2_000);
+        w.run(9_000);
+        assert!(!upgraded(&w));
+        w.upgrade(2, 2_000);
+        w.until(15_000, "upgraded", upgraded);
+        w.run(500);
+        assert_eq!(w.running("j-1"), 3, "services stay up");
+        let r = w.submit(1, after("j-8", 1, &["j-2"]));
+        assert!(matches!(w.answer(r), UserReply::Accepted { .. }));
+        w.limits_fall();
+        w.until(60_000, "done", |w| {
+            (2..9).all(|i| phase(w, &format!("j-{i}"), Phase::Done))
+        });
+        assert_eq!((w.starts, w.refused), (3 + 24 + 1, 0), "seed {seed}");
+        w.check_records();
+    }
+}
+
+/// A world in which old nodes have stored a chunk of 100 tasks with 80 bookings: twice the size
+/// that a value may have later.
+fn with_a_large_chunk(seed: u64) -> World {
+    let mut w = World::old(seed, 3, 40);
+    w.settings.idle_return_ms = 3_600_000;
+    w.capacity = 0;
+    w.run(4_000);
+    w.run_ms = 25_000;
+    w.submit(0, job("j-1", 100));
+    w.until(10_000, "80 run", |w| w.running("j-1") == 80);
+    let (chunk, _) = &w.store[&Key::Chunk("j-1".into(), 0)];
+    let bytes = formats::stored_bytes(chunk, formats::OLDEST) as u64;
+    assert!(bytes > 3 * 1024, "{bytes} bytes");
+    w
+}
+
+#[test]
+fn a_large_chunk_of_the_old_version_is_completed_after_the_limits_have_fallen() {
+    for seed in 0..4 {
+        let mut w = with_a_large_chunk(seed);
+        roll(&mut w, 9_000);
+        w.limits_fall();
+        w.until(90_000, "done", |w| phase(w, "j-1", Phase::Done));
+        assert_eq!((w.starts, w.refused), (100, 0));
+        w.check_records();
+    }
+}
+
+#[test]
+fn results_of_a_large_chunk_are_recorded_while_both_versions_serve() {
+    let mut w = with_a_large_chunk(9);
+    w.upgrade(0, 2_000);
+    w.run(9_000);
+    w.upgrade(1, 2_000);
+    w.run(9_000);
+    // The last old node stays away: its siblings record what ends meanwhile.
+    w.crash(2, 60_000);
+    w.until(40_000, "all have started", |w| w.starts == 100);
+    w.until(45_000, "done", |w| phase(w, "j-1", Phase::Done));
+    assert!(!upgraded(&w));
+    assert_eq!(w.refused, 0);
+    w.check_records();
+}
+
+#[test]
+fn a_large_chunk_is_cancelled_and_its_tasks_stopped_after_the_limits_have_fallen() {
+    let mut w = with_a_large_chunk(5);
+    w.run_ms = 3_600_000;
+    roll(&mut w, 9_000);
+    w.limits_fall();
+    // First some are stopped for work of higher rank, each with a reason on record.
+    let urgent = JobSpec {
+        rank: Rank::High,
+        ..job("j-2", 10)
+    };
+    w.submit(1, urgent);
+    w.until(15_000, "room is made", |w| w.running("j-2") == 10);
+    let r = w.cancel(2, "j-1");
+    w.answer(r);
+    w.until(30_000, "gone", |w| {
+        w.running("j-1") == 0 && !w.store.contains_key(&Key::Chunk("j-1".into(), 0))
+    });
+    assert_eq!(w.refused, 0);
+    w.check_records();
+}
+
+#[test]
+fn the_last_old_node_stores_a_large_chunk_a_moment_before_it_ends() {
+    let mut w = World::old(3, 3, 40);
+    w.settings.idle_return_ms = 3_600_000;
+    w.capacity = 0;
+    w.run(4_000);
+    w.run_ms = 25_000;
+    for n in [0, 1] {
+        w.upgrade(n, 2_000);
+        w.run(9_000);
+    }
+    w.submit(2, job("j-1", 100));
+    w.until(15_000, "most run", |w| w.running("j-1") > 60);
+    w.upgrade(2, 2_000);
+    w.until(10_000, "upgraded", upgraded);
+    w.limits_fall();
+    w.until(120_000, "done", |w| phase(w, "j-1", Phase::Done));
+    assert_eq!(w.refused, 0);
+    w.check_records();
+}
+
+#[test]
+fn a_record_that_the_state_service_refuses_holds_up_no_other() {
+    // Its limits are smaller than announced: so many bookings at once don't fit.
+    let mut w = World::new(7, 2, 82);
+    w.settings.idle_return_ms = 3_600_000;
+    w.settings.value_bytes = 2 * 1024;
+    w.capacity = 0;
+    w.run(4_000);
+    w.limits = Some((420, 16));
+    let mut spec = job("j-1", 80);
+    spec.need.cpus = 4_000;
+    let r = w.submit(0, spec);
+    w.answer(r);
+    w.run(1_000);
+    let r = w.submit(1, job("j-2", 1));
+    w.answer(r);
+    w.until(20_000, "the other is done", |w| {
+        phase(w, "j-2", Phase::Done)
+    });
+    w.run(60_000);
+    assert!((1..20).contains(&w.refused), "{} tries", w.refused);
+    w.limits = None;
+    w.until(90_000, "done after all", |w| phase(w, "j-1", Phase::Done));
+}
+
+/// As the version before format 2 writes them.
+const SAMPLES: [(&str, &str); 10] = [
+    (
+        "g/job/j-000412",
+        r#"{"at":1700000000000,"chunk":100,"ended":0,"phase":"Open","spec":{"checkpoint_s":0.0,"class":"reach","deadline_s":90.0,"estimate_s":40.0,"id":"j-000412","image":"img-07","image_gb":1.5,"need":{"c":2000,"g":0,"r":3200},"rank":"Normal","save_s":0.0,"scatter":true,"shape":"Array","spot":true,"tasks":3,"team":"hub","together":false,"types":["g8"],"zone":null},"tasks":3}"#,
+    ),
+    (
+        "g/job/j-000413",
+        r#"{"at":1700000000000,"chunk":100,"ended":1700000009000,"phase":"Done","spec":null,"tasks":3}"#,
+    ),
+    (
+        "g/chunk/j-000412/0000",
+        r#"{"f":["n-000230"],"i":0,"n":1,"o":"hub","p":1700000001000,"t":["w","d",{"b":{"a":41,"d":[1,7],"m":"n-000231"}},{"b":{"a":41,"m":"n-000232","s":[2,88],"x":"preempted"}}],"u":{"c":2000,"g":0,"r":3200}}"#,
+    ),
+    ("g/place/j-000412", r#"{"zones":{"a":2}}"#),
+    (
+        "g/machine/n-000231",
+        r#"{"address":"10.1.0.232:9000","at":1700000000500,"faults":["j-000398"],"phase":"Up","raised":1,"spot":true,"type":"g8","zone":"a"}"#,
+    ),
+    ("g/team/hub", r#"{"cpus":4000,"gpus":0}"#),
+    (
+        "g/hire/00000017",
+        r#"{"at":1700000000000,"count":2,"hosts":["n-000231","n-000232"],"node":"bothy-0","spot":true,"type":"g8","zone":"a"}"#,
+    ),
+    (
+        "g/fleet",
+        r#"{"next":18,"refused":{"g8|a|spot":1700000015000}}"#,
+    ),
+    ("g/term", r#"{"term":1}"#),
+    (
+        "g/types",
+        r#"{"types":[{"boot_s":45.0,"cache_gb":200.0,"fetch_gb_per_s":1.0,"name":"g8","price":12.0,"room":{"c":96000,"g":8000,"r":1024000},"spot_price":4.5,"zones":["a"]}]}"#,
+    ),
+];
+
+#[test]
+fn what_the_old_version_stored_is_read_and_written_back_the_same() {
+    for (path, text) in SAMPLES {
+        let key = Key::parse(path).unwrap();
+        let value: Value = serde_json::from_str(text).unwrap();
+        let record = Record::read(&key, value.clone()).expect(path);
+        assert_eq!(record.value(formats::OLDEST), value, "{path}");
+        assert_eq!(old::value(&key, value.clone()), Some(value), "{path}");
+        // In the latest format it says the same.
+        let again = Record::read(&key, record.value(formats::LATEST));
+        assert_eq!(again, Some(record), "{path}");
+    }
+}
+
+#[test]
+fn what_the_old_version_makes_of_new_records() {
+    // Reasons for waiting until all are new: it drops whom a job awaits, and can't read a compact
+    // chunk. A key of a kind it does not know it passes over.
+    let mut spec = after("j-000414", 1, &["j-000412"]);
+    spec.awaits.push("j-000413".into());
+    let record = Record::Job(JobRecord {
+        phase: Phase::Open,
+        tasks: 1,
+        chunk: 1,
+        at: 0,
+        ended: 0,
+        spec: Some(Box::new(spec)),
+    });
+    let key = Key::Job("j-000414".into());
+    let back = old::value(&key, record.value(formats::LATEST)).unwrap();
+    assert!(back["spec"].get("awaits").is_none());
+    let key = Key::parse(SAMPLES[2].0).unwrap();
+    let chunk = Record::read(&key, serde_json::from_str(SAMPLES[2].1).unwrap()).unwrap();
+    assert_eq!(old::value(&key, chunk.value(formats::LATEST)), None);
+    let compact = chunk.value(formats::LATEST)["z"].to_string();
+    assert_eq!(compact, r#""=1 +1 1:0:d1.7 2:0!0""#);
+    // Kept as written, should the way of writing change.
+    let text = r#"{"i":0,"z":"=1 +1 1:0:d1.7 2:0!0","m":"n-00023","a":41,"s":"s2.88","x":["preempted"],"o":"hub","u":{"c":2000,"g":0,"r":3200},"f":["n-000230"],"n":1,"p":1700000001000}"#;
+    let read = Record::read(&key, serde_json::from_str(text).unwrap());
+    assert_eq!(read, Some(chunk));
+    let format = Key::Format("a node".into());
+    assert_eq!(Key::parse(&format.path()), Some(format.clone()));
+    let record = Record::Format(FormatRecord { version: 2 });
+    assert_eq!(Record::read(&format, record.value(2)), Some(record));
+}
+
+#[test]
+fn a_compact_chunk_reads_back_whatever_it_holds() {
+    use rand::SeedableRng;
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+    let names = ["n-000231", "n-000232", "n-1", "", "a b:c*2!~", "=3", "é"];
+    for _ in 0..2_000 {
+        let mut pair = |most: u64| {
+            let some = rng.gen_bool(0.5);
+            some.then(|| (rng.gen_range(0..most), rng.gen_range(0..u64::MAX)))
+        };
+        let (armed, direct) = (pair(3), pair(u64::MAX));
+        let tasks = (0..rng.gen_range(0..30))
+            .map(|_| match rng.gen_range(0..4) {
+                0 => TaskState::Waiting,
+                1 => TaskState::Done,
+                n => TaskState::Booked(Booking {
+                    machine: names[rng.gen_range(0..names.len())].into(),
+                    attempt: [5, 5, 77, u64::MAX][rng.gen_range(0..4)],
+                    armed: armed.filter(|_| n == 2),
+                    direct,
+                    stop: rng.gen_bool(0.2).then(|| "preempted".to_string()),
+                }),
+            })
+            .collect();
+        let chunk = Record::Chunk(ChunkRecord {
+            first: 100,
+            tasks,
+            team: "blue \"1\"".into(),
+            ..ChunkRecord::default()
+        });
+        let key = Key::Chunk("j-1".into(), 1);
+        let value = chunk.value(formats::LATEST);
+        assert_eq!(Record::read(&key, value.clone()), Some(chunk), "{value}");
+    }
+    let key = Key::Chunk("j-1".into(), 0);
+    for z in [
+        "x",
+        "=",
+        "=-1",
+        "+999999999",
+        "a:b:c",
+        "a:1!0",
+        "a:1*x",
+        "é",
+    ] {
+        let value = serde_json::json!({"z": z});
+        assert_eq!(Record::read(&key, value), None, "{z}");
+    }
+}
+
+#[test]
+fn every_kind_of_record_at_its_greatest_fits_into_2_kib() {
+    let most = 2 * 1024;
+    let fits = |what: &str, record: Record| {
+        let bytes = formats::stored_bytes(&record, formats::LATEST);
+        assert!(bytes <= most, "{what}: {bytes} bytes");
+    };
+    let long = |n: usize| "x".repeat(n);
+    let spec = JobSpec {
+        class: long(200),
+        team: long(200),
+        image: long(200),
+        awaits: (0..36).map(|i| format!("j-{i:018}")).collect(),
+        ..job("j-123456789012345678", 100_000)
+    };
+    let job = |spec| JobRecord {
+        phase: Phase::Open,
+        tasks: 100_000,
+        chunk: 100,
+        at: WALL0,
+        ended: 0,
+        spec: Some(Box::new(spec)),
+    };
+    fits("a job with the longest names", Record::Job(job(spec)));
+    let mut usual = after("j-000001", 100, &[]);
+    usual.awaits = (0..130).map(|i| format!("j-{i:06}")).collect();
+    fits("a job that awaits 130 others", Record::Job(job(usual)));
+    let mut machine = MachineRecord::new(&long(200), &long(200), true, MachinePhase::Up, WALL0);
+    machine.address = long(100);
+    machine.faults = vec!["j-123456789012345678".into(); FAULTS_KEPT];
+    fits("a machine", Record::Machine(machine));
+    let hosts = (0..HIRE_MAX).map(|i| format!("n-{:06}", 999_000 + i));
+    let hire = HireRecord {
+        type_name: long(200),
+        zone: long(200),
+        spot: true,
+        count: HIRE_MAX,
+        node: long(60),
+        at: WALL0,
+        hosts: Some(hosts.collect()),
+    };
+    fits("a rental", Record::Hire(hire));
+    let zones = (0..60).map(|i| (format!("zone-{i:04}"), 100_000));
+    let zones = PlaceRecord {
+        zones: zones.collect(),
+    };
+    fits("places in 60 zones", Record::Place(zones));
+    let refused: BTreeMap<_, _> = (0..40)
+        .map(|i| (offer_key(&format!("type-{i:04}"), "capital", true), WALL0))
+        .collect();
+    fits("the fleet", Record::Fleet(FleetRecord { next: 9, refused }));
+    let tasks = |n: u32| {
+        let booking = |i: u32| Booking {
+            machine: format!("n-{:06}", 1_000 + i * 37),
+            attempt: 100_000 + i as u64 * 531,
+            armed: Some((1 + i as u64 % 3, 1_000 + i as u64)),
+            direct: None,
+            stop: Some("preempted".into()),
+        };
+        let booked = (0..n).map(|i| TaskState::Booked(booking(i)));
+        booked.collect::<Vec<_>>()
+    };
+    let chunk = |n: u32| ChunkRecord {
+        tasks: tasks(n),
+        team: "franquicias".into(),
+        failed_on: vec!["n-000231".into(); FAULTY_MACHINES],
+        pause_until: WALL0,
+        ..ChunkRecord::default()
+    };
+    let n = formats::chunk_tasks(formats::LATEST, most as u64);
+    assert!(n > 80, "{n} tasks of a new job");
+    fits(
+        "a chunk, all booked and to be stopped",
+        Record::Chunk(chunk(n)),
+    );
+}
+
+#[test]
+fn a_chunk_is_never_claimed_beyond_what_can_still_be_written() {
+    // Names that have nothing in common take the most room.
+    let limit = 2 * 1024;
+    for format in [formats::OLDEST, formats::LATEST] {
+        let mut chunk = ChunkRecord {
+            tasks: vec![TaskState::Waiting; 100],
+            team: "blue".into(),
+            ..ChunkRecord::default()
+        };
+        let mut booked = 0;
+        for i in 0..100usize {
+            let machine = format!("{}{}", (b'a' + (i % 26) as u8) as char, "y".repeat(i % 30));
+            if !formats::takes_one_more(&chunk, &machine, format, limit) {
+                break;
+            }
+            chunk.tasks[i] = TaskState::Booked(Booking {
+                machine,
+                attempt: 1_000_000 - i as u64 * 7_919,
+                armed: None,
+                direct: Some((1, 1)),
+                stop: None,
+            });
+            booked += 1;
+        }
+        // Then each is armed anew, and is to be stopped.
+        for task in &mut chunk.tasks {
+            if let TaskState::Booked(b) = task {
+                (b.armed, b.direct) = (Some((2, 1_234)), None);
+                b.stop = Some("preempted".into());
+            }
+        }
+        let bytes = formats::stored_bytes(&Record::Chunk(chunk), format) as u64;
+        assert!(
+            bytes <= limit,
+            "format {format}: {booked} make {bytes} bytes"
+        );
+        assert!(booked > 20, "format {format}: {booked}");
+    }
+}
+
+#[test]
+fn a_roll_among_random_mishaps_breaks_no_rule() {
+    for seed in 0..10 {
+        let mut w = World::old(3_000 + seed, 3, 6);
+        w.capacity = 4;
+        w.run(4_000);
+        w.mishaps = Mishaps {
+            txn_answer_lost: 0.03,
+            txn_late: 0.03,
+            answer_slow: 0.05,
+            report_lost: 0.03,
+            reply_lost: 0.03,
+            cloud_lost: 0.1,
+            command_lost: 0.05,
+            command_late: 0.05,
+            ..Mishaps::default()
+        };
+        let mut jobs: Vec<String> = Vec::new();
+        let mut turn = 0;
+        for step in 0..120 {
+            let n = w.rng.gen_range(0..3);
+            match w.rng.gen_range(0..12) {
+                0..=3 => {
+                    let mut spec = job(&format!("j-{step}"), w.rng.gen_range(1..6));
+                    for _ in 0..w.rng.gen_range(0..3) {
+                        if !jobs.is_empty() && upgraded(&w) {
+                            spec.awaits
+                                .push(jobs[w.rng.gen_range(0..jobs.len())].clone());
+                        }
+                    }
+                    spec.awaits.sort();
+                    spec.awaits.dedup();
+                    spec.spot = w.rng.gen_bool(0.5);
+                    spec.scatter = w.rng.gen_bool(0.2);
+                    if w.rng.gen_bool(0.4) {
+                        spec.team = "blue".into();
+                    }
+                    let r = w.submit(n, spec.clone());
+                    w.run(400);
+                    // Only accepted jobs are named.
+                    let accepted = |w: &World| w.store.contains_key(&Key::Job(spec.id.clone()));
+                    if w.answers.contains_key(&r) && accepted(&w) {
+                        jobs.push(spec.id);
+                    }
+                }
+                4 if !jobs.is_empty() => {
+                    let id = jobs[w.rng.gen_range(0..jobs.len())].clone();
+                    w.cancel(n, &id);
+                }
+                5 => w.crash(n, 4_000),
+                6 => w.nodes[n].cut_from_state = !w.nodes[n].cut_from_state,
+                7 => w.state_down = !w.state_down,
+                8 => w.freeze(n, 5_000),
+                9 if turn < 3 && step > 20 => {
+                    w.upgrade(turn, 4_000);
+                    turn += 1;
+                }
+                _ => {
+                    for id in jobs.clone() {
+                        let n = w.rng.gen_range(0..3);
+                        w.status(n, &id);
+                    }
+                }
+            }
+            if upgraded(&w) && w.rng.gen_bool(0.1) {
+                w.limits_fall();
+            }
+            let pause = w.rng.gen_range(100..2_000);
+            w.run(pause);
+            if w.rng.gen_bool(0.3) {
+                w.heal();
+            }
+        }
+        w.mishaps = Mishaps::default();
+        w.heal();
+        w.capacity += 6;
+        for n in turn..3 {
+            w.upgrade(n, 1_000);
+        }
+        w.until(30_000, "upgraded", upgraded);
+        w.limits_fall();
+        let over = |w: &World| jobs.iter().all(|id| !phase(w, id, Phase::Open));
+        w.until(400_000, "all end", over);
+        w.run(3_000);
+        w.check_records();
+        assert!(w.starts > 20, "seed {seed}: {} starts", w.starts);
+    }
+}
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -3,6 +3,7 @@
 
 use glenmount_core::constants::PEER_BEAT_MS;
 use glenmount_core::node::{Beat, Event};
+use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -40,6 +41,39 @@
     });
 }
 
+/// A frame's beat. Frames are arrays: versions before format 2 refuse one with an element more, so
+/// a beat gets new ones only once every node has that format; whatever follows those that are known
+/// here is passed over.
+fn read(frame: &[u8]) -> Option<Beat> {
+    struct Elements;
+    impl<'de> Visitor<'de> for Elements {
+        type Value = Beat;
+        fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+            f.write_str("the elements of a beat")
+        }
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Beat, A::Error> {
+            macro_rules! next {
+                ($at:literal) => {
+                    (seq.next_element()?).ok_or_else(|| Error::invalid_length($at, &self))?
+                };
+            }
+            let beat = Beat {
+                node: next!(0),
+                at: next!(1),
+                state_ok: next!(2),
+                workers_ok: next!(3),
+                heard: next!(4),
+                young: next!(5),
+                images: next!(6),
+            };
+            while seq.next_element::<IgnoredAny>()?.is_some() {}
+            Ok(beat)
+        }
+    }
+    let mut bytes = rmp_serde::Deserializer::from_read_ref(frame);
+    serde::Deserializer::deserialize_seq(&mut bytes, Elements).ok()
+}
+
 async fn receive(mut stream: TcpStream, core: mpsc::Sender<Event>) -> std::io::Result<()> {
     loop {
         let len = timeout(QUIET, stream.read_u32()).await??;
@@ -48,8 +82,7 @@
         }
         let mut frame = vec![0; len as usize];
         timeout(QUIET, stream.read_exact(&mut frame)).await??;
-        let beat: Beat = rmp_serde::from_slice(&frame)
-            .map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidData))?;
+        let beat = read(&frame).ok_or(std::io::ErrorKind::InvalidData)?;
         if core.send(Event::Beat(beat)).await.is_err() {
             return Ok(());
         }
@@ -98,6 +131,35 @@
         }
     }
 
+    /// As the version before format 2 sends it.
+    const SAMPLE: &str = "97a7626f7468792d31cf0000018bcfe56800c3c39194a86e2d303030323331015878c391\
+        92a86e2d3030303233319192a6696d672d3037cb3ff8000000000000";
+
+    #[test]
+    fn beats_stay_as_old_nodes_send_and_read_them_and_may_grow_later() {
+        let digits = SAMPLE.as_bytes().chunks(2);
+        let byte = |pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+        let frame: Vec<u8> = digits.map(byte).collect();
+        let sample = read(&frame).unwrap();
+        assert_eq!(
+            (sample.node.as_str(), sample.at),
+            ("bothy-1", 1_700_000_000_000)
+        );
+        assert_eq!(sample.heard, [("n-000231".to_string(), 1, 88, 120)]);
+        assert!(sample.state_ok && sample.workers_ok && sample.young);
+        assert_eq!(sample.images[0].1, [("img-07".to_string(), 1.5)]);
+        assert_eq!(rmp_serde::to_vec(&sample).unwrap(), frame);
+        // A later version's, with two elements more.
+        let mut longer = frame.clone();
+        longer[0] += 2;
+        longer.extend([0xc3, 0x92, 0x01, 0xc0]);
+        assert_eq!(read(&longer), Some(sample));
+        assert!(rmp_serde::from_slice::<Beat>(&longer).is_err());
+        for broken in [&frame[..9], &[], &[0x91, 0xc3], b"{}"] {
+            assert_eq!(read(broken), None);
+        }
+    }
+
     /// A sibling that stood still was not heard again by those that had closed its connections.
     #[tokio::test(flavor = "current_thread")]
     async fn a_beat_follows_the_sibling_to_a_new_connection() {
