--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -13,9 +13,23 @@
     id: &'a str,
     record: &'a MachineRecord,
     room: Room,
+    /// What of it is free already.
+    free: Room,
     victims: Vec<Victim<'a>>,
 }
 
+impl Coming<'_> {
+    /// Room there for a claimant. What is free now on ordinary machines found no use for urgent
+    /// work that takes no others: it is kept for services, and nothing would come of waiting for it.
+    fn room_for(&self, claimant: &Claimant) -> Room {
+        let kept = claimant.rank == Rank::High && !claimant.spec.spot && !self.record.spot;
+        match kept {
+            true => self.room.less(&self.free),
+            false => self.room,
+        }
+    }
+}
+
 struct Victim<'a> {
     task: TaskId,
     team: &'a str,
@@ -116,6 +130,7 @@
             id,
             record: m,
             room: kind.room.less(&staying),
+            free: kind.room.less(&cache.used(id)),
             victims,
         });
     }
@@ -150,7 +165,7 @@
             };
             if let Some(m) = machines
                 .iter_mut()
-                .find(|m| fits(m) && m.room.fits(&spec.need))
+                .find(|m| fits(m) && m.room_for(&claimant).fits(&spec.need))
             {
                 // Room that is free already, or being made.
                 m.room = m.room.less(&spec.need);
@@ -193,7 +208,7 @@
 
 /// How many victims, the least wasteful first, make enough room, and what that wastes.
 fn enough(m: &Coming, claimant: &Claimant, borrowed: &Borrowed) -> Option<(usize, Millis)> {
-    let mut room = m.room;
+    let mut room = m.room_for(claimant);
     let mut waste: Millis = 0;
     let mut count = 0;
     let mut borrowed = std::borrow::Cow::Borrowed(borrowed);
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -648,6 +648,32 @@
     });
 }
 
+#[test]
+fn urgent_work_does_not_wait_for_the_room_that_is_kept_for_services() {
+    // What is free is kept back, and used to count as room that it could have: nothing was stopped
+    // for it, and it waited for two minutes.
+    let mut w = settled(26, 3, 10);
+    w.capacity = 0;
+    w.run_ms = 100_000;
+    let mut small = service("j-1", 2);
+    small.need.cpus = 1_000;
+    w.submit(0, small.clone());
+    w.until(10_000, "runs", |w| w.running("j-1") == 2);
+    w.submit(1, job("j-2", 40));
+    w.run(4_000);
+    assert!(w.running("j-2") < 19, "some room is kept");
+    let urgent = JobSpec {
+        rank: Rank::High,
+        ..job("j-3", 2)
+    };
+    w.submit(2, urgent);
+    w.until(4_000, "the urgent runs", |w| w.running("j-3") == 2);
+    small.id = "j-4".into();
+    w.submit(0, small);
+    w.until(1_500, "and a service", |w| w.running("j-4") == 2);
+    w.check_records();
+}
+
 #[test]
 fn a_small_site_keeps_nothing_back() {
     let mut w = settled(27, 1, 1);
