--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -677,8 +677,7 @@
 
     pub(crate) fn commit(&mut self, txn: Txn, purpose: Purpose, priority: Priority) {
         self.writes.take(txn.changes.len());
-        self.stats.transactions += 1;
-        self.stats.changes += txn.changes.len() as u64;
+        self.stats.sent(&purpose, &txn);
         let token = self.token(purpose, Some(txn.clone()));
         self.emit(Effect::State {
             token,
--- a/crates/core/src/stats.rs
+++ b/crates/core/src/stats.rs
@@ -2,8 +2,10 @@
 
 use crate::constants::*;
 use crate::model::*;
+use crate::node::Purpose;
+use crate::records::{Key, Txn};
 use hdrhistogram::Histogram;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Milliseconds, told apart to a hundredth.
 type Times = Option<Histogram<u32>>;
@@ -37,6 +39,8 @@
     pub transactions: u64,
     /// Changes sent to the state service, whether they took effect or not.
     pub changes: u64,
+    /// The same by what they were for and the kind of record.
+    by_kind: BTreeMap<(&'static str, &'static str), u64>,
     pub conflicts: u64,
     pub results: u64,
     pub cloud: u64,
@@ -57,6 +61,7 @@
             lookups: 0,
             transactions: 0,
             changes: 0,
+            by_kind: BTreeMap::new(),
             conflicts: 0,
             results: 0,
             cloud: 0,
@@ -66,6 +71,29 @@
             starting: HashMap::new(),
         }
     }
+    pub fn sent(&mut self, purpose: &Purpose, txn: &Txn) {
+        self.transactions += 1;
+        self.changes += txn.changes.len() as u64;
+        let purpose = match purpose {
+            Purpose::Lookup(_) => "claim",
+            Purpose::Flush { .. } => "report",
+            Purpose::Ask(_) => "user",
+            Purpose::Stop(_) => "stop",
+            Purpose::NewHires(_) | Purpose::HireDone(_) | Purpose::Tidy(_) => "rent",
+            _ => "keep",
+        };
+        for (key, change) in &txn.changes {
+            let kind = match (key, change) {
+                (Key::Chunk(..), _) => "chunk",
+                (Key::Machine(_), None) => "gone",
+                (Key::Machine(_), _) => "machine",
+                (Key::Job(_), _) => "job",
+                (Key::Team(_), _) => "team",
+                _ => "other",
+            };
+            *self.by_kind.entry((purpose, kind)).or_default() += 1;
+        }
+    }
     pub fn accepted(&mut self, ms: Millis) {
         note(&mut self.accepted, ms);
     }
@@ -88,12 +116,15 @@
         if now < self.since + STATS_MS {
             return;
         }
+        let kinds = self.by_kind.iter();
+        let kinds: Vec<String> = kinds.map(|((p, k), n)| format!("{p}-{k}:{n}")).collect();
         tracing::info!(
             seconds = (now - self.since) / 1000,
             check_ins = self.check_ins,
             lookups = self.lookups,
             transactions = self.transactions,
             changes = self.changes,
+            kinds = kinds.join(" "),
             conflicts = self.conflicts,
             results = self.results,
             cloud = self.cloud,
