--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -37,8 +37,9 @@
 /// Bytes of a compact booking apart from its machine's name: its attempt, its start, and what
 /// other names grow by when it shortens what all have in common is left to the spare bytes.
 pub const COMPACT_BOOKING_BYTES: usize = 24;
-/// Bytes by which a compact booking grows when it is armed anew and gets a reason to stop.
-pub const COMPACT_EDIT_BYTES: usize = 10;
+/// Bytes by which a booking grows when it is armed anew and gets a reason to stop, beyond what is
+/// reserved for it otherwise.
+pub const BOOKING_EDIT_BYTES: usize = 10;
 /// Bytes added to a value's length as written here, should the state service count some spaces.
 pub const VALUE_SPARE_BYTES: usize = 48;
 /// Records remembered as too large for the state service.
--- a/crates/core/src/formats.rs
+++ b/crates/core/src/formats.rs
@@ -262,11 +262,11 @@
 /// reason to stop.
 pub fn takes_one_more(chunk: &ChunkRecord, machine: &str, format: u32, value_bytes: u64) -> bool {
     let most = value_bytes as usize;
-    let booked = chunk.booked().count() + 1;
-    let plain = chunk.size() + BOOKING_BYTES + machine.len();
+    let later = (chunk.booked().count() + 1) * BOOKING_EDIT_BYTES;
+    let plain = chunk.size() + BOOKING_BYTES + machine.len() + VALUE_SPARE_BYTES + later;
     if plain <= most || format == OLDEST {
         return plain <= most;
     }
     let now = stored_bytes(&Record::Chunk(chunk.clone()), format);
-    now + machine.len() + COMPACT_BOOKING_BYTES + booked * COMPACT_EDIT_BYTES <= most
+    now + machine.len() + COMPACT_BOOKING_BYTES + later <= most
 }
