Dead and new machines get up to half of a flush; idle ones come last

Deletions of machines with bookings and records of new machines now share up to half of a flush; machines with nothing to do are returned when room is left.

Two stories, both fail without the share.

--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -68,11 +68,19 @@
         };
         let mut full = false;
         // When changes are short there are always results to fill a transaction. Machines that came
-        // up would never be recorded then, nor used, and be given up as never heard of; and those
-        // that hold a cancelled task would not be deleted in time. One change is left to each.
-        let others = usize::from(!self.condemned.is_empty()) + usize::from(!self.seen.is_empty());
+        // up would never be recorded then, nor used, and be given up as never heard of; what ran on
+        // dead ones would not start anew, and cancelled tasks would outlive their time on others.
+        // Up to half of the changes are left to these.
+        let (lost, idle): (Vec<_>, Vec<_>) = (self.condemned.iter())
+            .filter(|(id, _)| {
+                let phase = self.cache.machine(id).map(|m| m.phase);
+                phase != Some(MachinePhase::Returning)
+            })
+            .partition(|(id, _)| self.cache.booked_tasks(id) > 0);
+        let ops = most.min(settings.txn_ops);
+        let share = (lost.len() + self.seen.len()).min(ops / 2);
         for (task, attempt, outcome) in self.results_in_turn() {
-            let left = if draft.is_empty() { 0 } else { others };
+            let left = if draft.is_empty() { 0 } else { share };
             if !room(
                 &draft,
                 claims::release_changes(&draft, task, outcome) + left,
@@ -90,7 +98,7 @@
             let mut any = false;
             for (task, attempt) in self.to_arm(held) {
                 let known = self.chunk_key(&task).is_some_and(|key| draft.touches(&key));
-                let left = if draft.is_empty() { 0 } else { others };
+                let left = if draft.is_empty() { 0 } else { share };
                 if !room(&draft, usize::from(!known) + left) {
                     full = true;
                     break;
@@ -106,29 +114,20 @@
             }
         }
         for (task, attempt) in &self.saves {
-            if room(&draft, 1 + others) {
+            if room(&draft, 1 + share) {
                 self.edit_booking(&mut draft, task, *attempt, |b| {
                     b.stop = Some("notice".into());
                 });
             }
         }
         let mut returning = false;
-        let left = usize::from(!self.seen.is_empty());
-        for (id, why) in &self.condemned {
-            if !room(&draft, 1 + left) {
+        let some_seen = usize::from(!self.seen.is_empty());
+        for (id, why) in lost {
+            if !room(&draft, 1 + some_seen) {
                 full = true;
                 break;
             }
-            let Some(mut machine) = draft.machine(id).or_else(|| self.rented_record(id)) else {
-                continue;
-            };
-            if machine.phase != MachinePhase::Returning {
-                let bookings = self.cache.booked_tasks(id);
-                tracing::info!(machine = id, bookings, why, "deleting");
-                machine.phase = MachinePhase::Returning;
-                draft.put(Key::Machine(id.clone()), Record::Machine(machine));
-                returning = true;
-            }
+            returning |= self.draft_deletion(&mut draft, id, why);
         }
         for (id, seen) in &self.seen {
             if !room(&draft, 1) {
@@ -141,6 +140,13 @@
                 }
             }
         }
+        for (id, why) in idle {
+            if !room(&draft, 1) {
+                full = true;
+                break;
+            }
+            returning |= self.draft_deletion(&mut draft, id, why);
+        }
         for id in &self.deleted {
             // No claim can follow: each rests on the record as it was while the machine was up.
             if self.cache.booked_tasks(id) == 0 && room(&draft, 1) {
@@ -160,6 +166,21 @@
         self.too_large(large);
     }
 
+    /// Drafts that a machine is to be deleted; says whether there was need to.
+    fn draft_deletion(&self, draft: &mut Draft, id: &str, why: &str) -> bool {
+        let Some(mut machine) = draft.machine(id).or_else(|| self.rented_record(id)) else {
+            return false;
+        };
+        if machine.phase == MachinePhase::Returning {
+            return false;
+        }
+        let bookings = self.cache.booked_tasks(id);
+        tracing::info!(machine = id, bookings, why, "deleting");
+        machine.phase = MachinePhase::Returning;
+        draft.put(Key::Machine(id.to_string()), Record::Machine(machine));
+        true
+    }
+
     /// Changes that must be left for the next transaction: more while much waits to be recorded.
     /// Results that share a chunk, and claims that share a team's record, then share their puts.
     pub(crate) fn writes_least(&self) -> usize {
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1119,23 +1119,30 @@
 
 /// Users ask many times as often: one read of the revision serves all that wait, and polls change
 /// nothing.
-#[test]
-fn machines_that_come_up_are_recorded_though_results_would_fill_every_transaction() {
-    // Changes are short, and the jobs so small that each result takes one or two of its own.
-    let mut w = World::new(31, 2, 20);
+/// Changes are short, and so many small jobs run that each result takes one or two of its own.
+fn short_of_changes(seed: u64) -> World {
+    let mut w = World::new(seed, 2, 20);
     w.settings.idle_return_ms = 3_600_000;
     w.settings.txn_ops = 5;
     w.settings.write_rps = 4.0;
     w.capacity = 0;
     w.run(12_000);
+    let r = w.submit(0, service("j-900", 1));
+    w.answer(r);
+    w.until(10_000, "runs", |w| w.running("j-900") == 1);
     w.run_ms = 500;
     for i in 0..120 {
         w.submit(i % 2, job(&format!("j-{i}"), 1));
         w.run(20);
     }
     w.until(60_000, "results wait", |w| w.done_tasks.len() > 20);
-    let name = w.boot_machine("large", "east", false, 100);
-    let recorded = Key::Machine(name);
+    w
+}
+
+#[test]
+fn machines_that_come_up_are_recorded_though_results_would_fill_every_transaction() {
+    let mut w = short_of_changes(31);
+    let recorded = Key::Machine(w.boot_machine("large", "east", false, 100));
     w.until(6_000, "the new machine is on record", |w| {
         w.store.contains_key(&recorded)
     });
@@ -1143,6 +1150,18 @@
     w.check_records();
 }
 
+#[test]
+fn a_dead_machine_is_deleted_though_results_would_fill_every_transaction() {
+    let mut w = short_of_changes(32);
+    let machine = w.machine_of("j-900").unwrap();
+    w.kill_machine(&machine);
+    w.until(12_000, "its service runs elsewhere", |w| {
+        w.running("j-900") == 1
+    });
+    assert!(w.done_tasks.len() < 110, "meanwhile there was enough to do");
+    w.check_records();
+}
+
 #[test]
 fn a_storm_of_polls_costs_few_reads_and_no_change() {
     let mut w = kept(71, 3, 4);
