--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -179,6 +179,7 @@
                     team = spec.team,
                     tasks = spec.tasks,
                     image = spec.image,
+                    awaits = spec.awaits.join(" "),
                     "accepted"
                 );
                 // The watch may have brought the record first, as if a sibling had made it.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -196,6 +196,14 @@
         // removed meanwhile would stand there again, for good.
         if let (StateAnswer::Committed { epoch }, Some(txn)) = (&answer, &txn) {
             let overtaken = *epoch <= self.cache.epoch;
+            for (key, record) in &txn.changes {
+                if let (Key::Job(job), Some(Record::Job(r))) = (key, record) {
+                    if r.phase == Phase::Done {
+                        let ms = self.wall.saturating_sub(r.at);
+                        tracing::info!(job, tasks = r.tasks, ms, "done");
+                    }
+                }
+            }
             for (key, record) in txn.changes.iter().filter(|_| !overtaken) {
                 self.apply(key.clone(), *epoch, record.clone(), true);
             }
