--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -37,6 +37,8 @@
     pub job: String,
     pub set: CapabilitySet,
     pub urgency: Urgency,
+    /// Without that of jobs which need it.
+    pub own_rank: Rank,
     pub indices: VecDeque<u32>,
     /// Machines on which tasks of it failed: others come first.
     pub avoid: Vec<String>,
@@ -146,6 +148,7 @@
                 borrowed: false,
                 due: due(job, spec, ready_at, pull, settings, wall),
             },
+            own_rank: spec.rank,
             indices: indices.into(),
             avoid,
             suspect,
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -100,7 +100,7 @@
             return;
         }
         // Urgent work is not kept waiting; other work waits a little for room to come by itself.
-        let after = |w: &lookup::Waiting| match w.urgency.rank.0 {
+        let after = |w: &lookup::Waiting| match w.own_rank {
             Rank::High | Rank::Production => Some(PREEMPT_AFTER_MS),
             Rank::Normal => Some(PREEMPT_LATER_MS),
             Rank::Low => Some(PREEMPT_LATER_MS).filter(|_| w.within),
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -46,7 +46,6 @@
 /// For whom room is made.
 struct Claimant<'a> {
     spec: &'a JobSpec,
-    /// Its own, or that of a job that needs it.
     rank: Rank,
     within: bool,
     waste: Millis,
@@ -144,7 +143,7 @@
             continue;
         };
         let lent = w.within && borrowed.values().any(|cpus| *cpus > 0);
-        let rank = w.urgency.rank.0;
+        let rank = w.own_rank;
         if lowest >= rank && !lent {
             continue;
         }
