The end of an awaited job causes a lookup

Seen on reading the change once more: a job of several chunks ends in a transaction of its own, after the lookups that its last results caused. On a single node nothing looked for what awaits it until the poll of 5 s. A story of one node fails without the change; on three nodes a sibling's delayed lookup mostly covered it.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -121,7 +121,9 @@
         match record {
             Some(record) => {
                 if let (Key::Job(id), Record::Job(job)) = (&key, &record) {
-                    if job.phase == Phase::Open && self.cache.job(id).is_none() {
+                    let new = job.phase == Phase::Open && self.cache.job(id).is_none();
+                    let awaited = || !self.cache.dependents().of(id).is_empty();
+                    if new || job.phase == Phase::Done && awaited() {
                         self.want_lookup(own);
                     }
                 }
--- a/crates/core/tests/pipelines.rs
+++ b/crates/core/tests/pipelines.rs
@@ -58,6 +58,24 @@
     w.check_records();
 }
 
+#[test]
+fn the_end_of_a_job_of_several_chunks_starts_what_awaits_it() {
+    // On a single node nothing else causes a lookup then: the next stage would wait for the poll.
+    for seed in 0..5 {
+        let mut w = World::new(30 + seed, 1, 4);
+        w.settings.idle_return_ms = 3_600_000;
+        w.capacity = 0;
+        w.run(4_000);
+        w.run_ms = 300;
+        let mut first = job("j-1", 250);
+        first.need.cpus = 100;
+        accept(&mut w, 0, first);
+        accept(&mut w, 0, after("j-2", 1, &["j-1"]));
+        w.until(60_000, "done", |w| phase(w, "j-1", Phase::Done));
+        w.until(1_500, "the next runs", |w| w.running("j-2") == 1);
+    }
+}
+
 #[test]
 fn a_job_just_accepted_elsewhere_may_be_named() {
     // The other node has not heard of it when it is asked: it must find out, not refuse.
