One place each for refusals, final states, inherited rank and a task's booking

Whether a submission is refused and whether a job is over were put together twice in jobs.rs, what a job counts as in lookup and in placing, and a task's booking as a draft sees it three times in claims and results.

--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -205,10 +205,7 @@
         return 0;
     };
     let n = job.chunk_of(task.index);
-    let booking = draft
-        .chunk(&task.job, n)
-        .and_then(|c| c.booking(task.index));
-    let Some(machine) = booking.map(|b| b.machine.clone()) else {
+    let Some(machine) = draft.booking(task).map(|b| b.machine.clone()) else {
         return 0;
     };
     let faults = draft.cache.machine(&machine).map_or(0, |m| m.faults.len());
@@ -232,10 +229,8 @@
         return;
     };
     let n = job.chunk_of(task.index);
-    let booking = draft
-        .chunk(&task.job, n)
-        .and_then(|c| c.booking(task.index));
-    let Some(machine_id) = booking
+    let Some(machine_id) = draft
+        .booking(task)
         .filter(|b| b.attempt == attempt)
         .map(|b| b.machine.clone())
     else {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -55,8 +55,7 @@
 
     fn ask(&mut self, request: RequestId, ask: Ask) {
         // A final state never changes, so the copy suffices however old it is.
-        let over = |j: &&JobRecord| j.phase != Phase::Open || self.cache.doomed(&ask.job);
-        if let Some(job) = self.cache.job(&ask.job).filter(over) {
+        if let Some(job) = self.cache.job(&ask.job).filter(|j| self.over(&ask.job, j)) {
             let reply = self.job_reply(&ask, job);
             self.emit(Effect::User { request, reply });
             return;
@@ -69,7 +68,7 @@
         // A new job needs no proof of freshness: its record is only written if absent.
         let new = self.cache.job(&ask.job).is_none();
         let valid = matches!(&ask.want, Want::Submit(spec)
-            if self.never(spec).or(self.unknown_awaited(spec)).is_none());
+            if self.refusal(spec).is_none());
         let at_once = new && valid && !self.types.is_empty();
         self.asks.insert(request, ask);
         if at_once {
@@ -99,8 +98,7 @@
             return;
         };
         if let Some(job) = self.cache.job(&ask.job).cloned() {
-            let open = job.phase == Phase::Open && !self.cache.doomed(&ask.job);
-            if matches!(ask.want, Want::Cancel) && open {
+            if matches!(ask.want, Want::Cancel) && !self.over(&ask.job, &job) {
                 let mut draft = Draft::new(&self.cache);
                 let over = job.over(Phase::Cancelled, self.wall);
                 draft.put(Key::Job(ask.job), Record::Job(over));
@@ -121,8 +119,7 @@
             self.answer(request, reply);
             return;
         }
-        let why = self.never(&spec).or(self.unknown_awaited(&spec));
-        if let Some(why) = why {
+        if let Some(why) = self.refusal(&spec) {
             tracing::info!(job = spec.id, why, "refused");
             self.answer(request, UserReply::Never(why));
             return;
@@ -224,6 +221,11 @@
         }
     }
 
+    /// Whether a job's state is final, though its record may not say so yet.
+    fn over(&self, id: &str, job: &JobRecord) -> bool {
+        job.phase != Phase::Open || self.cache.doomed(id)
+    }
+
     fn job_reply(&self, ask: &Ask, job: &JobRecord) -> UserReply {
         let (state, done, running) = self.job_state(&ask.job, job);
         match ask.want {
@@ -256,6 +258,11 @@
         }
     }
 
+    /// Why a submission is refused, if so, as far as the records show.
+    fn refusal(&self, spec: &JobSpec) -> Option<String> {
+        self.never(spec).or_else(|| self.unknown_awaited(spec))
+    }
+
     /// Why a job can never run, if so.
     fn never(&self, spec: &JobSpec) -> Option<String> {
         let Some(team) = self.settings.teams.get(&spec.team) else {
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -144,7 +144,7 @@
                 own: own.then(|| id.to_string()),
             },
             urgency: Urgency {
-                rank: std::cmp::Reverse(pull.map_or(spec.rank, |p| p.rank.max(spec.rank))),
+                rank: std::cmp::Reverse(pipelines::rank(pulls, id, spec)),
                 borrowed: false,
                 due: due(job, spec, ready_at, pull, settings, wall),
             },
--- a/crates/core/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -72,6 +72,12 @@
     pub due: Option<WallMs>,
 }
 
+/// What a job counts as: its own rank, or the highest of the jobs that need it.
+pub fn rank(pulls: &HashMap<String, Pull>, job: &str, spec: &JobSpec) -> Rank {
+    let pulled = pulls.get(job).map(|p| p.rank);
+    pulled.map_or(spec.rank, |rank| rank.max(spec.rank))
+}
+
 fn earliest(a: Option<WallMs>, b: Option<WallMs>) -> Option<WallMs> {
     match (a, b) {
         (Some(a), Some(b)) => Some(a.min(b)),
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -131,10 +131,7 @@
             }
         };
         let usable = |id: &str| self.recently_heard(id) && !self.condemned.contains_key(id);
-        let rank = |job: &str, spec: &JobSpec| {
-            let pulled = pulls.get(job).map(|p| p.rank);
-            pulled.map_or(spec.rank, |rank| rank.max(spec.rank))
-        };
+        let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
         let site = preempt::Site {
             cache: &self.cache,
             settings: &self.settings,
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1078,6 +1078,11 @@
             None => self.cache.chunk(job, n),
         }
     }
+    /// A task's booking as this draft sees it.
+    pub fn booking(&self, task: &TaskId) -> Option<&Booking> {
+        let n = self.cache.job(&task.job)?.chunk_of(task.index);
+        self.chunk(&task.job, n)?.booking(task.index)
+    }
     /// A chunk to be changed; `fresh` makes one that is not on record yet.
     pub fn chunk_mut(
         &mut self,
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -285,10 +285,7 @@
             return;
         };
         let n = job.chunk_of(task.index);
-        let booked = draft
-            .chunk(&task.job, n)
-            .and_then(|c| c.booking(task.index));
-        if booked.is_none_or(|b| b.attempt != attempt) {
+        if draft.booking(task).is_none_or(|b| b.attempt != attempt) {
             return;
         }
         if let Some(b) = draft
