--- /dev/null
+++ b/crates/xtask/src/lib.rs
@@ -0,0 +1,7 @@
+//! The regression check: entries of the bench's journal against a base that is recorded in the
+//! repository. The binary plays the sets; everything that decides is here.
+
+pub mod base;
+pub mod journal;
+pub mod sets;
+pub mod verdict;
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,188 @@
+//! `cargo run -p xtask -- regress ...`: the regression set in one command.
+
+use clap::{Parser, Subcommand};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitCode};
+use xtask::base::Base;
+use xtask::journal::{self, Entry, Read};
+use xtask::sets::Set;
+use xtask::verdict::{rows, table, Row, TABLE};
+
+#[derive(Parser)]
+#[command(version, about)]
+struct Args {
+    /// The bench's journal
+    #[arg(long, global = true, default_value = "journal")]
+    journal: PathBuf,
+    /// The recorded base
+    #[arg(long, global = true, default_value = "regression/base.json")]
+    base: PathBuf,
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Plays a set on the bench, then compares what it left in the journal with the base
+    Regress {
+        /// What is played
+        set: Set,
+        /// The bench's program
+        #[arg(long)]
+        bench: PathBuf,
+        /// The users' kit, which has the site files
+        #[arg(long)]
+        kit: PathBuf,
+        /// Said in the journal: tried, expected
+        #[arg(long)]
+        why: String,
+        /// The two roughest days of each site only
+        #[arg(long)]
+        quick: bool,
+        /// Days of each site's hunt with the full set
+        #[arg(long, default_value_t = 4)]
+        hunt: u32,
+        /// How often a day that fell is played again before it counts: its mean is compared
+        #[arg(long, default_value_t = 2)]
+        again: u32,
+        /// A template for the table instead of the usual one
+        #[arg(long)]
+        template: Option<PathBuf>,
+    },
+    /// Compares entries that the journal has already
+    Compare {
+        /// Their ids
+        #[arg(required = true)]
+        ids: Vec<String>,
+        #[arg(long)]
+        template: Option<PathBuf>,
+    },
+    /// Makes these entries the base: the commit of it names them
+    Base {
+        #[arg(required = true)]
+        ids: Vec<String>,
+    },
+}
+
+fn main() -> ExitCode {
+    match run(Args::parse()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("xtask: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Whether nothing failed.
+fn run(args: Args) -> Result<bool, String> {
+    match args.verb {
+        Verb::Base { ids } => {
+            let base = Base::of(&named(&args.journal, &ids)?)?;
+            base.write(&args.base)?;
+            println!("{}: {} entries", args.base.display(), base.entries.len());
+            Ok(true)
+        }
+        Verb::Compare { ids, template } => {
+            let base = confirmed(&args.base, &args.journal)?;
+            let entries = entries(named(&args.journal, &ids)?);
+            let sites: BTreeSet<String> = entries.iter().filter_map(|e| e.site.clone()).collect();
+            let sites: Vec<String> = sites.into_iter().collect();
+            show(&rows(&base, &sites, &entries), template.as_deref())
+        }
+        Verb::Regress {
+            set,
+            bench,
+            kit,
+            why,
+            quick,
+            hunt,
+            again,
+            template,
+        } => {
+            let base = confirmed(&args.base, &args.journal)?;
+            let sites = set.sites(&kit)?;
+            let names: Vec<String> = sites.iter().map(|s| Set::name(s)).collect();
+            let mut bench = Bench {
+                program: bench,
+                journal: args.journal,
+                why,
+                entries: Vec::new(),
+            };
+            let mut score: Vec<&str> = sites.iter().filter_map(|s| s.to_str()).collect();
+            score.extend(quick.then_some("--quick"));
+            bench.play("score", &score)?;
+            for site in sites.iter().filter(|_| set == Set::Full && hunt > 0) {
+                let days = hunt.to_string();
+                let site = site.to_string_lossy();
+                bench.play("hunt", &[&*site, "--days", &days])?;
+            }
+            for _ in 0..again {
+                for row in rows(&base, &names, &bench.entries) {
+                    let site = sites.iter().find(|s| Set::name(s) == row.site);
+                    if let (true, Some(site), true) = (row.fell, site, row.what != "score") {
+                        let site = site.to_string_lossy();
+                        bench.play("run", &[&*site, &row.what])?;
+                    }
+                }
+            }
+            show(&rows(&base, &names, &bench.entries), template.as_deref())
+        }
+    }
+}
+
+fn show(rows: &[Row], template: Option<&Path>) -> Result<bool, String> {
+    let text = match template {
+        Some(path) => std::fs::read_to_string(path).map_err(|e| format!("--template: {e}"))?,
+        None => TABLE.to_string(),
+    };
+    print!("{}", table(rows, &text)?);
+    Ok(!rows.is_empty() && rows.iter().all(|r| r.fails.is_none()))
+}
+
+fn confirmed(base: &Path, journal: &Path) -> Result<Base, String> {
+    let known = Base::read(base)?;
+    known.confirm(journal)?;
+    Ok(known)
+}
+
+fn named(journal: &Path, ids: &[String]) -> Result<Vec<Read>, String> {
+    let one = |id: &String| journal::read(&journal::find(journal, id)?);
+    ids.iter().map(one).collect()
+}
+
+fn entries(read: Vec<Read>) -> Vec<Entry> {
+    read.into_iter().map(|r| r.entry).collect()
+}
+
+/// The users' bench, and what it has left in the journal so far.
+struct Bench {
+    program: PathBuf,
+    journal: PathBuf,
+    why: String,
+    entries: Vec<Entry>,
+}
+
+impl Bench {
+    /// Plays, and takes up the entries that it leaves. How it exits says nothing: its entries do.
+    fn play(&mut self, verb: &str, args: &[&str]) -> Result<(), String> {
+        let before: BTreeSet<PathBuf> = journal::files(&self.journal)?.into_iter().collect();
+        let status = Command::new(&self.program)
+            .arg(verb)
+            .args(args)
+            .args(["--why", &self.why])
+            .status()
+            .map_err(|e| format!("--bench: {}: {e}", self.program.display()))?;
+        let after = journal::files(&self.journal)?;
+        let new: Vec<&PathBuf> = after.iter().filter(|p| !before.contains(*p)).collect();
+        if new.is_empty() {
+            return Err(format!("--bench: {verb} left no entry ({status})"));
+        }
+        for path in new {
+            self.entries.push(journal::read(path)?.entry);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/sets.rs
@@ -0,0 +1,48 @@
+//! What is played when: sites by their files under the users' kit.
+
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Set {
+    /// The two large fleets: before what touches storage, membership, timers or messages.
+    Fleet,
+    /// The operators' deployments and those named next: before every landing.
+    Operators,
+    /// Both, in full, with a hunt on each: every third landing.
+    Full,
+}
+
+const FLEET: [&str; 2] = [
+    "more/fleet/rutazona-central-fleet.toml",
+    "more/fleet/melekt-shared-fleet.toml",
+];
+const OPERATORS: [&str; 4] = [
+    "more/rutazona-central-ops.toml",
+    "more/melekt-shared-ops.toml",
+    "change/rutazona-central-next.toml",
+    "change/melekt-shared-next.toml",
+];
+
+impl Set {
+    /// Site files, each of which must exist.
+    pub fn sites(self, kit: &Path) -> Result<Vec<PathBuf>, String> {
+        let names: Vec<&str> = match self {
+            Set::Fleet => FLEET.to_vec(),
+            Set::Operators => OPERATORS.to_vec(),
+            Set::Full => FLEET.into_iter().chain(OPERATORS).collect(),
+        };
+        let sites = names.into_iter().map(|n| kit.join(n));
+        sites
+            .map(|path| match path.is_file() {
+                true => Ok(path),
+                false => Err(format!("--kit: no site file {}", path.display())),
+            })
+            .collect()
+    }
+
+    /// A site's name is its file's.
+    pub fn name(site: &Path) -> String {
+        let stem = site.file_stem().and_then(|s| s.to_str());
+        stem.unwrap_or_default().to_string()
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/verdict.rs
@@ -0,0 +1,171 @@
+//! What a run's entries say against the base.
+
+use crate::base::{drawn, Base};
+use crate::journal::Entry;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a figure may lose: less is noise, by the users' word.
+pub const FALL: f64 = 0.03;
+
+/// One line of the table.
+#[derive(Clone, Debug, Serialize, PartialEq)]
+pub struct Row {
+    pub site: String,
+    /// A day's name, `hunted` for all of a hunt, or `score` for the site's figure.
+    pub what: String,
+    /// Plays that it is the mean of.
+    pub plays: usize,
+    pub figure: Option<f64>,
+    /// The lowest figure of the base, and how many there are.
+    pub base: Option<f64>,
+    pub of: usize,
+    pub change: Option<f64>,
+    /// Why it fails, if it does.
+    pub fails: Option<String>,
+    /// It is a fall that more plays may show to be luck.
+    pub fell: bool,
+}
+
+/// One row for each site's figure and each day, several plays of a day taken together. Sites that
+/// were to be played and have no entry fail.
+pub fn rows(base: &Base, wanted: &[String], entries: &[Entry]) -> Vec<Row> {
+    let mut rows = Vec::new();
+    for site in wanted {
+        let of: Vec<&Entry> = (entries.iter())
+            .filter(|e| e.site.as_ref() == Some(site))
+            .collect();
+        rows.extend(site_rows(base, site, &of));
+    }
+    for entry in entries {
+        let known = entry.site.as_ref().is_some_and(|s| wanted.contains(s));
+        if !known {
+            let mut row = empty(entry.site.as_deref().unwrap_or("-"), &entry.id);
+            let error = entry
+                .error
+                .as_deref()
+                .unwrap_or("it names no site asked for");
+            row.fails = Some(error.to_string());
+            rows.push(row);
+        }
+    }
+    rows
+}
+
+fn empty(site: &str, what: &str) -> Row {
+    Row {
+        site: site.into(),
+        what: what.into(),
+        plays: 0,
+        figure: None,
+        base: None,
+        of: 0,
+        change: None,
+        fails: None,
+        fell: false,
+    }
+}
+
+fn site_rows(base: &Base, site: &str, entries: &[&Entry]) -> Vec<Row> {
+    let mut rows = Vec::new();
+    if entries.is_empty() {
+        let mut row = empty(site, "score");
+        row.fails = Some("not played".into());
+        return vec![row];
+    }
+    let known = base.sites.get(site);
+    let scores: Vec<f64> = (entries.iter())
+        .filter(|e| e.cmd == "score" && !e.quick())
+        .filter_map(|e| e.score)
+        .collect();
+    let full = known.map_or(&[][..], |k| &k.score);
+    if !scores.is_empty() {
+        rows.push(compared(empty(site, "score"), &scores, full));
+    }
+    let mut plays: BTreeMap<&str, Vec<f64>> = BTreeMap::new();
+    let mut troubles: BTreeMap<&str, Vec<String>> = BTreeMap::new();
+    for entry in entries {
+        if !entry.ok || entry.edited_meanwhile {
+            let why = entry.error.as_deref();
+            let why = why.unwrap_or("it did not end well, or the sources changed meanwhile");
+            troubles.entry("all").or_default().push(why.into());
+            plays.entry("all").or_default();
+        }
+        for day in &entry.days {
+            let name = match drawn(&day.name) {
+                true => "drawn",
+                false => day.name.as_str(),
+            };
+            plays.entry(name).or_default().extend(day.score);
+            let mut trouble = |what: String| {
+                let what = match name {
+                    "drawn" => format!("{}: {what}", day.name),
+                    _ => what,
+                };
+                troubles.entry(name).or_default().push(what);
+            };
+            if !day.rules.is_empty() {
+                let broken: Vec<String> = (day.rules.iter())
+                    .map(|(r, n)| format!("{n} {r}"))
+                    .collect();
+                trouble(format!("rules broken: {}", broken.join(", ")));
+            }
+            if let Some(fault) = &day.fault {
+                trouble(format!("not played to its end: {fault}"));
+            }
+            if day.restarts > 0.0 {
+                trouble(format!("{} controllers ended by themselves", day.restarts));
+            }
+            if day.score.is_none() {
+                trouble("it has no figure".into());
+            }
+        }
+    }
+    for (name, figures) in plays {
+        let of = known.and_then(|k| k.days.get(name));
+        let mut row = compared(empty(site, name), &figures, of.map_or(&[], |v| v));
+        if let Some(troubles) = troubles.get(name) {
+            row.fails = Some(troubles.join("; "));
+            row.fell = false;
+        }
+        rows.push(row);
+    }
+    rows
+}
+
+fn compared(mut row: Row, figures: &[f64], base: &[f64]) -> Row {
+    row.plays = figures.len();
+    row.of = base.len();
+    row.base = base.iter().copied().reduce(f64::min);
+    if !figures.is_empty() {
+        row.figure = Some(figures.iter().sum::<f64>() / figures.len() as f64);
+    }
+    if let (Some(now), Some(before)) = (row.figure, row.base) {
+        row.change = Some(now - before);
+        // Figures have four digits: what is 0.03 in them is no more than that.
+        row.fell = now < before - FALL - 1e-6;
+        if row.fell {
+            row.fails = Some(format!("fell by more than {FALL}"));
+        }
+    }
+    row
+}
+
+/// The table, from a template so that a report in another form needs no code.
+pub fn table(rows: &[Row], template: &str) -> Result<String, String> {
+    let mut env = minijinja::Environment::new();
+    env.set_keep_trailing_newline(true);
+    env.add_filter("fixed", |x: Option<f64>, digits: usize| {
+        x.map_or("-".to_string(), |x| format!("{x:.digits$}"))
+    });
+    env.add_filter("signed", |x: Option<f64>| {
+        x.map_or("-".to_string(), |x| format!("{x:+.3}"))
+    });
+    env.add_filter("wide", |s: String, n: usize| format!("{s:<n$}"));
+    let failed = rows.iter().filter(|r| r.fails.is_some()).count();
+    let context = minijinja::context! { rows => rows, failed => failed };
+    let text = env.render_str(template, context);
+    text.map_err(|e| format!("template: {e:#}"))
+}
+
+pub const TABLE: &str = include_str!("../templates/table.txt");
