Zones that are cut off ride it out; cancellations are told when nothing is left

Change: silence is judged by zone; nothing is placed, stopped or rented in one that is silent as a whole; commands that only ask have slots of their own. A cancellation is committed at once and told when its last booking is proven over, so renewing can break no rule, and a node that is cut off renews for as long as it lasts. Format 3: g/settled orders cancellations into told at the commit and told at the end; once nothing is left of the former the term is raised, by which a node that has started inside the cut knows that it may renew. A stop's answer is read: it shows what has ended.

--- /dev/null
+++ b/crates/core/src/cancels.rs
@@ -0,0 +1,191 @@
+//! Cancellations that are told only when nothing is left of the job, and what rests on it: that a
+//! node which is cut off may renew leases for as long as the cut lasts.
+//!
+//! A user who was told that a job is cancelled must find nothing of it anywhere `cancel_s` later.
+//! Told at its commit, that rests on what happens after: a halt that arrives, a deletion that the
+//! cloud carries out, or a lease that nobody renews, so a node cut off with its zone had to stop
+//! renewing in time, and let everything die that nothing was wrong with. Told when every booking of
+//! the job is proven to be over, it rests on nothing that is still to happen. So renewing can break
+//! no rule, whoever does it and for however long.
+//!
+//! Until every node has format 3 cancellations are told at their commit, as older versions do, and
+//! leases are renewed no longer than they allow. `g/settled` is written once when all have it:
+//! which of the two holds for a cancellation is the order of the two revisions, and each
+//! cancellation is conditional on the key as it was known. See docs/design.md.
+
+use crate::constants::*;
+use crate::formats;
+use crate::jobs::{Ask, Want};
+use crate::model::*;
+use crate::node::*;
+use crate::records::*;
+
+impl Node {
+    /// Writes, once all nodes have the format, from when on cancellations are told when all is gone;
+    /// and, once nothing is left of any that was told before, raises the term beyond
+    /// `SETTLED_TERM`. A worker that has seen such a token proves that to a node without records.
+    pub(crate) fn note_settled(&mut self) {
+        let settled = self.cache.stamp(&Key::Settled);
+        if self.settle_busy || self.cache.format() < formats::SETTLED {
+            return;
+        }
+        let mut draft = Draft::new(&self.cache);
+        match (settled, self.cache.term()) {
+            (0, _) => {
+                let version = formats::SETTLED;
+                draft.put(Key::Settled, Record::Settled(SettledRecord { version }));
+            }
+            (_, Some(term)) if term < SETTLED_TERM && self.cache.epoch >= settled => {
+                let told_before = |(job, counts): (&str, Counts)| {
+                    let phase = self.cache.job(job).map(|j| j.phase);
+                    let before = self.cache.job_stamp(job) < settled;
+                    counts.booked > 0 && phase == Some(Phase::Cancelled) && before
+                };
+                if self.cache.counted().any(told_before) {
+                    return;
+                }
+                let term = term + SETTLED_TERM;
+                draft.put(Key::Term, Record::Term(TermRecord { term }));
+            }
+            _ => return,
+        }
+        let txn = draft.finish();
+        self.settle_busy = true;
+        self.commit(txn, Purpose::Settle, Priority::User);
+    }
+
+    /// A cancellation was committed, or asked for once more, and tasks of the job may be left: its
+    /// user waits a moment, as most tasks are gone within half a second. One whose machines can't
+    /// be reached now is told at once when to come back.
+    pub(crate) fn await_end(&mut self, request: RequestId) {
+        let Some(job) = self.asks.get(&request).map(|a| a.job.clone()) else {
+            return;
+        };
+        let unreached = |b: &Booking| match self.cache.machine(&b.machine) {
+            Some(m) => m.phase == MachinePhase::Returning || !self.reachable(&b.machine, &m.zone),
+            None => true,
+        };
+        let booked = self.cache.chunks_of(&job).flat_map(|(_, c)| c.booked());
+        if booked.map(|(_, b)| b).any(unreached) {
+            let after_s = CANCEL_RETRY_AFTER_S;
+            self.answer(request, UserReply::Later { after_s });
+            return;
+        }
+        let until = self.now + CANCEL_PATIENCE_MS;
+        if let Some(ask) = self.asks.get_mut(&request) {
+            ask.until = ask.until.min(until);
+            self.ending_asks.insert(request);
+        }
+    }
+
+    /// Tells those who wait for it that their job is cancelled, now that nothing is left of it.
+    pub(crate) fn tell_ended(&mut self) {
+        if self.ending_asks.is_empty() || !self.loaded {
+            return;
+        }
+        let asks = &self.asks;
+        self.ending_asks
+            .retain(|request| asks.contains_key(request));
+        let gone = |request: &RequestId| {
+            let ask: &Ask = self.asks.get(request)?;
+            let told = matches!(ask.want, Want::Cancel) && !self.cache.ending(&ask.job);
+            told.then(|| (*request, ask.job.clone()))
+        };
+        let over: Vec<(RequestId, String)> = self.ending_asks.iter().filter_map(gone).collect();
+        for (request, job) in over {
+            self.ending_asks.remove(&request);
+            let state = JobState::Cancelled;
+            self.answer(request, UserReply::Cancelled { job, state });
+        }
+    }
+
+    /// Whether a machine that holds a cancelled task which nobody was told of is left alone: its zone
+    /// is cut off, and it runs others' work. The user waits longer then, but nobody else loses what
+    /// runs well behind the cut.
+    pub(crate) fn spared(&self, id: &str) -> bool {
+        let quiet = self
+            .cache
+            .machine(id)
+            .is_some_and(|m| self.zone_quiet(&m.zone));
+        let other = |(task, _): (&TaskId, &Placed)| self.cache.open_job(&task.job).is_some();
+        quiet && self.cache.bookings(id).any(other)
+    }
+
+    /// Whether renewing a lease can break no rule. Cancellations later than `g/settled` are told when
+    /// nothing is left; a copy that has reached it knows all earlier ones, and stops their tasks; and
+    /// where a worker has seen a settled term there are none of these.
+    fn renewing_is_safe(&self, report: &Report) -> bool {
+        let settled = self.cache.stamp(&Key::Settled);
+        report.token >= SETTLED_TERM || self.loaded && settled > 0 && self.cache.epoch >= settled
+    }
+
+    /// Cut off from the state service: hand workers to a sibling that reaches it, or keep their
+    /// leases alive. Nothing is started; what was cancelled before the cut is stopped, since that
+    /// never changes. A node that has started inside the cut, and so knows nothing, does the same.
+    pub(crate) fn cut_off_reply(&mut self, report: &Report) -> WorkerReply {
+        if let Some(node) = self.sibling_with_state() {
+            return WorkerReply::Elsewhere { node: Some(node) };
+        }
+        let limit = self
+            .settings
+            .cancel_ms
+            .saturating_sub(self.settings.lease_ms + CANCEL_MARGIN_MS);
+        let common = self.fresh_siblings().count() + 1 == self.settings.nodes.len();
+        let early = self.loaded && (common || self.state_age() < limit);
+        let renews = early || self.renewing_is_safe(report) && !self.turn_away(&report.machine);
+        let token = self.machine_token(&report.machine).unwrap_or(0);
+        // Siblings may have raised it since this node was cut off. Nothing is started, so a start
+        // that this bars stays barred.
+        let token = token.max(report.token);
+        if !renews || token == 0 {
+            return WorkerReply::NotNow;
+        }
+        WorkerReply::Orders {
+            token,
+            orders: self.stops_of_cancelled(report),
+        }
+    }
+
+    fn stops_of_cancelled(&self, report: &Report) -> Vec<Order> {
+        let cancelled = |t: &&TaskReport| {
+            let job = self.cache.job(&t.task.job);
+            !matches!(t.phase, TaskPhase::Exited(_))
+                && job.is_some_and(|j| j.phase == Phase::Cancelled)
+        };
+        let tasks = report.tasks.iter().filter(cancelled);
+        let stop = |t: &TaskReport| Order::Stop {
+            task: t.task.clone(),
+            attempt: t.attempt,
+            grace_s: 0.0,
+        };
+        tasks.map(stop).take(REPLY_ORDERS).collect()
+    }
+
+    /// Whether a worker is sent to look for another node. A node that is cut off alone must not
+    /// keep workers that others would serve; one that is cut off with its zone is all they have.
+    /// Which it is shows in who still reports: only machines of its own zone, or those of others
+    /// as well. Where all are in one zone each worker is sent away once, if its lease allows for
+    /// the way round: one that is back found no other.
+    fn turn_away(&mut self, id: &str) -> bool {
+        if self.settings.zones.len() > 1 {
+            let recent = 2 * self.settings.report_ms;
+            let here = self.settings.zone.as_str();
+            let mut zones = self.reporting.iter();
+            return zones.any(|(zone, at)| zone != here && self.now < at + recent);
+        }
+        let lease_ms = self.settings.lease_ms;
+        let round = (self.settings.nodes.len() as u64 - 1) * WORKER_MOVE_MS
+            + self.settings.report_ms * 5 / 4
+            + SILENCE_SPARE_MS;
+        if round >= lease_ms {
+            return true;
+        }
+        // Those that come back to a node that was away have looked already.
+        let sent = self.turned_away.get(id).copied();
+        if self.now < self.woke + lease_ms || sent.is_some_and(|at| self.now < at + 2 * lease_ms) {
+            return false;
+        }
+        self.turned_away.insert(id.to_string(), self.now);
+        true
+    }
+}
--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -26,12 +26,14 @@
 
 /// What to rent for work that no machine, present or on its way, can take: per set the
 /// cheapest way to serve it, offers refused lately passed over. `pending` tells whether a
-/// machine that a rental brought is still on its way.
+/// machine that a rental brought is still on its way, `quiet` whether a zone is cut off: what is
+/// rented there would come up unheard.
 pub fn wishes(
     cache: &Cache,
     types: &HashMap<String, MachineType>,
     work: &[Waiting],
     pending: impl Fn(&str) -> bool,
+    quiet: impl Fn(&str) -> bool,
     wall: WallMs,
 ) -> Vec<Wish> {
     let fleet = cache.fleet();
@@ -75,7 +77,7 @@
     };
     let few = sum(true) <= LATE_FEW || sum(true) * LATE_PART <= sum(false);
     for (type_name, zone, spot, count, late) in on_the_way {
-        if !(late && few) {
+        if !(quiet(zone) || late && few) {
             push(type_name, zone, spot, count);
         }
     }
@@ -98,7 +100,7 @@
             }
         }
         while left > 0 {
-            let Some(offer) = cheapest(types, &fleet, spec, &zones, left, wall) else {
+            let Some(offer) = cheapest(types, &fleet, spec, &zones, left, &quiet, wall) else {
                 break;
             };
             let mut v = offer;
@@ -211,6 +213,7 @@
     spec: &JobSpec,
     zones: &PlaceRecord,
     left: u64,
+    quiet: &impl Fn(&str) -> bool,
     wall: WallMs,
 ) -> Option<Virtual> {
     let mut best: Option<(f64, Virtual)> = None;
@@ -219,7 +222,7 @@
         if fit == 0 {
             continue;
         }
-        for zone in &kind.zones {
+        for zone in kind.zones.iter().filter(|z| !quiet(z)) {
             for spot in [false, true] {
                 let price = if spot { kind.spot_price } else { kind.price };
                 let refused = fleet
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -97,6 +97,19 @@
 /// Milliseconds after which other nodes cancel what needs a cancelled job, should the one that
 /// was asked not have done so.
 pub const CASCADE_PATIENCE_MS: u64 = 1_500;
+/// What the shared term is raised by once nothing is left of cancellations that were told at their
+/// commit: terms start at 1, and a machine's token rises by 1 with a command that went missing, at
+/// most once a second, so none comes near it otherwise.
+pub const SETTLED_TERM: u64 = 1 << 24;
+/// Milliseconds that a user waits for the tasks of a job to go that was just cancelled: their stops
+/// take a few, their workers report the end within 500, which is recorded within 250.
+pub const CANCEL_PATIENCE_MS: u64 = 1_500;
+/// Seconds told to a user whose cancelled job has tasks on machines that can't be reached: until
+/// they are heard again, or deleted.
+pub const CANCEL_RETRY_AFTER_S: u32 = 5;
+/// Milliseconds after which a machine that still holds a cancelled task is deleted so that its user
+/// can be told: users repeat their request for 60 s in all, and a deletion takes some seconds.
+pub const CANCEL_UNTOLD_MS: u64 = 40_000;
 /// Seconds told to a user in `Retry-After` when the service can't decide.
 pub const RETRY_AFTER_S: u32 = 1;
 /// The same while the state service does not answer: outages last longer than that.
@@ -159,6 +172,19 @@
 /// By how much longer silence must last before it counts while it is the silence of many:
 /// then the network or the controllers are at fault rather than the machines.
 pub const SILENCE_DOUBT: u64 = 3;
+/// Machines of a zone from which on its silence as a whole is told from theirs one by one: fewer
+/// may well die together.
+pub const ZONE_LEAST: u64 = 8;
+/// Reports that would have come from a zone while it is found to be silent: that none does by
+/// chance is one in e to the power of so many.
+pub const ZONE_REPORTS: u64 = 12;
+/// Milliseconds after which machines of a zone that stays silent as a whole are given up all the
+/// same. Cuts last minutes at most; what runs inside goes on meanwhile, and to rent and fill a zone
+/// anew takes minutes too.
+pub const ZONE_PATIENCE_MS: u64 = 240_000;
+/// Machines of a silent zone that are asked in one look whether they answer: each unanswered
+/// command holds a connection for more than a second, and starts elsewhere need them.
+pub const ZONE_PROBES: usize = 2;
 /// Milliseconds between the same step of two nodes, so that one of them goes first.
 pub const NODE_STAGGER_MS: u64 = 600;
 /// Milliseconds spared before `cancel_s` runs out, for a halt or a deletion to work.
--- a/crates/core/src/formats.rs
+++ b/crates/core/src/formats.rs
@@ -10,6 +10,7 @@
 //! |---|---|---|
 //! | 1 | records as JSON objects throughout | once no site has chunks from before format 2: every chunk is gone with its job's last booking, so a day after an upgrade |
 //! | 2 | compact chunks; jobs that await others (`awaits`) | |
+//! | 3 | cancellations are told when all tasks are gone (`g/settled`); records as in 2 | |
 //!
 //! A compact chunk writes its tasks as words: `=N` tasks wait, `+N` are done, and a booking is
 //! `MACHINE:ATTEMPT[:START][!STOP][*N]`. The machine's name lacks what all have in common, the
@@ -29,8 +30,10 @@
 pub const OLDEST: u32 = 1;
 /// From this one on chunks are compact and jobs may await others.
 pub const PIPELINES: u32 = 2;
+/// From this one on cancellations are told when all tasks are gone.
+pub const SETTLED: u32 = 3;
 /// The latest format that this version reads and writes.
-pub const LATEST: u32 = PIPELINES;
+pub const LATEST: u32 = SETTLED;
 
 /// The latest format that a node reads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -100,8 +100,14 @@
         if let Some(job) = self.cache.job(&ask.job).cloned() {
             if matches!(ask.want, Want::Cancel) && !self.over(&ask.job, &job) {
                 let mut draft = Draft::new(&self.cache);
+                if job.phase == Phase::Cancelled {
+                    self.await_end(request);
+                    return;
+                }
                 let over = job.over(Phase::Cancelled, self.wall);
                 draft.put(Key::Job(ask.job), Record::Job(over));
+                // Which way it is to be told is the order of the two.
+                draft.rests_on(Key::Settled);
                 let txn = draft.finish();
                 self.commit(txn, Purpose::Ask(request), Priority::User);
                 return;
@@ -189,6 +195,10 @@
                 let state = JobState::Cancelled;
                 self.command_stops(&ask.job);
                 self.cancel_doomed();
+                if self.cache.ending(&ask.job) {
+                    self.await_end(request);
+                    return;
+                }
                 self.answer(
                     request,
                     UserReply::Cancelled {
@@ -223,7 +233,12 @@
 
     /// Whether a job's state is final, though its record may not say so yet.
     fn over(&self, id: &str, job: &JobRecord) -> bool {
-        job.phase != Phase::Open || self.cache.doomed(id)
+        match job.phase {
+            Phase::Open => self.cache.doomed(id),
+            Phase::Done => true,
+            // While the records are read page by page the copy may lack what is booked.
+            Phase::Cancelled => self.loaded && !self.cache.ending(id),
+        }
     }
 
     fn job_reply(&self, ask: &Ask, job: &JobRecord) -> UserReply {
@@ -245,6 +260,11 @@
     fn job_state(&self, id: &str, job: &JobRecord) -> (JobState, u32, u32) {
         match job.phase {
             Phase::Done => (JobState::Done, job.tasks, 0),
+            // Nobody has been told of it yet.
+            Phase::Cancelled if self.cache.ending(id) => {
+                let counts = self.cache.counts(id);
+                (JobState::Running, counts.done, counts.booked)
+            }
             Phase::Cancelled => (JobState::Cancelled, 0, 0),
             Phase::Open if self.cache.doomed(id) => (JobState::Cancelled, 0, 0),
             Phase::Open => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,6 +2,7 @@
 //! is passed in, chance is seeded. Sockets, files and timers are the business of its callers.
 
 mod allowance;
+mod cancels;
 pub mod capacity;
 pub mod claims;
 pub mod constants;
@@ -17,6 +18,7 @@
 pub mod records;
 mod rentals;
 mod results;
+mod silence;
 mod state;
 mod stats;
 mod sweeping;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -63,21 +63,28 @@
             (heard.session, heard.tally) = mark;
         }
         self.silent_run = 0;
+        match self.reporting.get_mut(&report.zone) {
+            Some(at) => *at = self.now,
+            None if self.settings.zones.contains(&report.zone) => {
+                self.reporting.insert(report.zone.clone(), self.now);
+            }
+            None => {}
+        }
         if self.awaits_view() {
             // Just started, or awake again: the view will be current in a moment, while another
             // node would be a second away.
             self.hold(request, report, true);
             return;
         }
-        let Some(token) = self.machine_token(&id) else {
-            self.worker(request, WorkerReply::NotNow);
-            return;
-        };
         if !self.state_ok() {
-            let reply = self.cut_off_reply(token);
+            let reply = self.cut_off_reply(&report);
             self.worker(request, reply);
             return;
         }
+        let Some(token) = self.machine_token(&id) else {
+            self.worker(request, WorkerReply::NotNow);
+            return;
+        };
         if report.token > token {
             // Commands of a newer term than this node knows: not entitled to answer.
             self.worker(request, WorkerReply::NotNow);
@@ -144,28 +151,6 @@
         self.emit(Effect::Worker { request, reply });
     }
 
-    /// Cut off from the state service: hand workers to a sibling that reaches it, or keep
-    /// their leases alive without giving orders - but not for so long that a job cancelled
-    /// elsewhere would outlive its time here, unless the outage is everyone's.
-    fn cut_off_reply(&self, token: u64) -> WorkerReply {
-        if let Some(node) = self.sibling_with_state() {
-            return WorkerReply::Elsewhere { node: Some(node) };
-        }
-        let limit = self
-            .settings
-            .cancel_ms
-            .saturating_sub(self.settings.lease_ms + CANCEL_MARGIN_MS);
-        let common = self.fresh_siblings().count() + 1 == self.settings.nodes.len();
-        if self.loaded && (common || self.state_age() < limit) {
-            WorkerReply::Orders {
-                token,
-                orders: Vec::new(),
-            }
-        } else {
-            WorkerReply::NotNow
-        }
-    }
-
     /// Notes what a report proves and what it gives reason to record. Says whether a start
     /// has to go into its answer. Whatever it proves holds however old the report is.
     fn examine(&mut self, report: &Report) -> bool {
@@ -186,12 +171,7 @@
             let barred = barred(b, mark, report.token);
             let newer_session = outlived(b, mark);
             let outcome = match phase {
-                Some(TaskPhase::Exited(cause)) => Some(match cause {
-                    Cause::Done => Outcome::Done,
-                    Cause::Error => Outcome::Failed,
-                    Cause::NoRoom | Cause::Busy | Cause::Unknown => Outcome::Refused,
-                    Cause::Stopped | Cause::Other => Outcome::Gone,
-                }),
+                Some(TaskPhase::Exited(cause)) => Some(outcome_of(cause)),
                 None if newer_session || barred && !wanted => Some(Outcome::Gone),
                 _ => None,
             };
@@ -229,18 +209,8 @@
                 above = above.max(b.direct.map(|(_, token)| token));
             }
         }
-        for (key, outcome, rests_on) in ended {
-            self.stats.results += u64::from(!self.results.contains_key(&key));
-            let at = self.now;
-            let fresh = Ended {
-                outcome,
-                at,
-                rests_on,
-            };
-            let known = self.results.entry(key).or_insert(fresh);
-            if known.rests_on.is_some() {
-                (known.outcome, known.rests_on) = (outcome, rests_on);
-            }
+        for ((task, attempt), outcome, rests_on) in ended {
+            self.note_ended(task, attempt, outcome, rests_on);
         }
         self.saves.extend(saves);
         let seen = Seen {
@@ -257,6 +227,40 @@
         arm
     }
 
+    /// Notes what the answer to a direct command shows to have ended. What it does not show proves
+    /// nothing: unlike a check-in it may overtake the answer to one, and a start in that.
+    pub(crate) fn heed_answer(&mut self, report: &Report) {
+        for t in &report.tasks {
+            let booked = self.cache.booking(&report.machine, &t.task);
+            let ours = booked.is_some_and(|p| p.booking.attempt == t.attempt);
+            if let (true, TaskPhase::Exited(cause)) = (ours, t.phase) {
+                self.note_ended(t.task.clone(), t.attempt, outcome_of(cause), None);
+            }
+        }
+    }
+
+    /// Keeps a proof until it is recorded.
+    fn note_ended(
+        &mut self,
+        task: TaskId,
+        attempt: u64,
+        outcome: Outcome,
+        rests_on: Option<Travel>,
+    ) {
+        let key = (task, attempt);
+        self.stats.results += u64::from(!self.results.contains_key(&key));
+        let at = self.now;
+        let fresh = Ended {
+            outcome,
+            at,
+            rests_on,
+        };
+        let known = self.results.entry(key).or_insert(fresh);
+        if known.rests_on.is_some() {
+            (known.outcome, known.rests_on) = (outcome, rests_on);
+        }
+    }
+
     /// A machine's record with what a report says of it, if that changes it.
     pub(crate) fn updated(&self, id: &str, seen: &Seen) -> Option<MachineRecord> {
         let Some(record) = self.cache.machine(id) else {
@@ -538,11 +542,10 @@
                 continue;
             }
             if !state_ok && (self.loaded || self.now >= held.since + CHECKIN_PATIENCE_MS) {
-                // Starts that were committed for this answer may go; nothing else.
-                let (request, token) = (held.request, self.machine_token(&id).unwrap_or(0));
-                let reply = self.cut_off_reply(token);
-                self.held.remove(&id);
-                self.worker(request, reply);
+                if let Some(held) = self.held.remove(&id) {
+                    let reply = self.cut_off_reply(&held.report);
+                    self.worker(held.request, reply);
+                }
                 continue;
             }
             if self.now >= held.since + CHECKIN_PATIENCE_MS {
@@ -641,7 +644,10 @@
                 self.answered.insert(machine.clone(), self.now);
             }
             Reach::Silent => {
-                self.silent_run = self.silent_run.saturating_add(1);
+                let zone = self.cache.machine(&machine).map(|m| &m.zone);
+                if !zone.is_some_and(|z| self.zone_quiet(z)) {
+                    self.silent_run = self.silent_run.saturating_add(1);
+                }
                 self.unreached.insert(machine.clone(), self.now);
             }
             Reach::NotSent => {
@@ -657,7 +663,7 @@
     /// When any node last got a machine's check-in, as far as is known here. A machine that
     /// has just come up may have reported to a sibling whose next beat is still to come, so
     /// this counts from when it was first seen up here.
-    fn heard_at(&self, id: &str) -> Millis {
+    pub(crate) fn heard_at(&self, id: &str) -> Millis {
         let seen = self.up_since.get(id).copied().unwrap_or(self.now);
         let own = self.heard.get(id).map_or(seen, |h| h.at.max(seen));
         let told = self.told.get(id).map_or(0, |h| h.at);
@@ -747,7 +753,7 @@
     }
 
     /// Milliseconds between a worker's last check-in at one node and its first at another.
-    fn move_time(&self) -> Millis {
+    pub(crate) fn move_time(&self) -> Millis {
         WORKER_MOVE_MS + self.settings.report_ms * 5 / 4
     }
 
@@ -764,37 +770,55 @@
     /// Finds machines to delete: silent ones, ones that never came up, idle ones, and ones
     /// that still hold a cancelled task when its time runs out.
     pub(crate) fn judge_machines(&mut self) {
+        self.judge_zones();
         let overdue_ms = self.settings.report_ms * 5 / 4 + PROBE_AFTER_MS;
+        let mut asked_quiet: BTreeMap<String, usize> = BTreeMap::new();
         let mut overdue: BTreeMap<String, bool> = self.unheard_by_all().into_iter().collect();
         for id in self.overdue_here(overdue_ms) {
             overdue.insert(id, true);
         }
+        let mut overdue: Vec<(String, bool)> = overdue.into_iter().collect();
+        // Of a silent zone only a few are asked, each time others.
+        overdue.shuffle(&mut self.rng);
         for (id, given_up) in overdue {
+            let zone = self.cache.machine(&id).map_or("", |m| m.zone.as_str());
+            let zone = zone.to_string();
             let asked = self.asked_at.get(&id).copied();
             let heard = self.now - self.silence(&id);
             let failed = self.unreached.get(&id).copied();
             let failed =
                 failed.is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS);
-            if failed && given_up {
+            let failed_at = self.unreached.get(&id).copied().unwrap_or(0);
+            if failed && given_up && self.silent_alone(&zone, failed_at) {
                 self.condemn(&id, "silent, and not reached directly");
             } else if asked
                 .is_none_or(|at| at < heard + overdue_ms || self.now >= at + PROBE_FRESH_MS)
             {
+                if self.zone_quiet(&zone) {
+                    let asked = asked_quiet.entry(zone).or_default();
+                    if *asked >= ZONE_PROBES {
+                        continue;
+                    }
+                    *asked += 1;
+                }
                 self.asked_at.insert(id.clone(), self.now);
                 // No orders: only whether it answers.
                 self.command_now(id, Vec::new());
             }
         }
         let mut condemned: Vec<(String, &'static str)> = Vec::new();
-        let stuck_after = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
+        let told = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
         for (job, counts) in self.cache.counted() {
+            let untold = self.cache.ending(job);
+            let after = if untold { CANCEL_UNTOLD_MS } else { told };
             let stuck = self.cache.job(job).is_some_and(|j| {
                 j.phase == Phase::Cancelled
                     && counts.booked > 0
-                    && self.wall > j.ended + self.settings.clock_off_ms + stuck_after
+                    && self.wall > j.ended + self.settings.clock_off_ms + after
             });
             if stuck {
-                for (_, b) in self.cache.chunks_of(job).flat_map(|(_, c)| c.booked()) {
+                let booked = self.cache.chunks_of(job).flat_map(|(_, c)| c.booked());
+                for (_, b) in booked.filter(|(_, b)| !untold || !self.spared(&b.machine)) {
                     condemned.push((b.machine.clone(), "it still holds a cancelled task"));
                 }
             }
@@ -858,6 +882,15 @@
     }
 }
 
+fn outcome_of(cause: Cause) -> Outcome {
+    match cause {
+        Cause::Done => Outcome::Done,
+        Cause::Error => Outcome::Failed,
+        Cause::NoRoom | Cause::Busy | Cause::Unknown => Outcome::Refused,
+        Cause::Stopped | Cause::Other => Outcome::Gone,
+    }
+}
+
 /// A check-in of a newer session than the one that the booking's start was for.
 fn outlived(b: &Booking, mark: (u64, u64)) -> bool {
     let session = b.armed.or(b.direct).map(|(session, _)| session);
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -141,6 +141,8 @@
     /// Names of all nodes, this one included, in order.
     pub nodes: Vec<String>,
     pub zones: Vec<String>,
+    /// That of this node.
+    pub zone: String,
     pub teams: BTreeMap<String, Team>,
     /// Per class, milliseconds within which its jobs should be complete, shortest first.
     pub goals: BTreeMap<String, Vec<u64>>,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -8,6 +8,7 @@
 use crate::model::*;
 use crate::records::*;
 use crate::results::Ended;
+use crate::silence::ZoneSigns;
 use crate::stats::Stats;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -160,6 +161,8 @@
     Commanded {
         machine: String,
         reach: Reach,
+        /// The worker's report after the commands, where it was read.
+        report: Option<Box<Report>>,
     },
 }
 
@@ -249,6 +252,7 @@
     /// Cancels jobs that need a cancelled one.
     Cascade(Vec<String>),
     Format,
+    Settle,
     Sweep,
     Types,
     Hosts,
@@ -325,6 +329,13 @@
     pub(crate) trailing_since: Option<Millis>,
     pub(crate) watch_opened: Millis,
     pub(crate) asks: BTreeMap<RequestId, Ask>,
+    /// Those of them that wait for the last tasks of a cancelled job to go.
+    pub(crate) ending_asks: BTreeSet<RequestId>,
+    pub(crate) settle_busy: bool,
+    /// Workers that were sent to look for another node while this one is cut off, and when.
+    pub(crate) turned_away: HashMap<String, Millis>,
+    /// Zones whose machines report to this node, and when one last did.
+    pub(crate) reporting: BTreeMap<String, Millis>,
     // Machines
     pub types: HashMap<String, MachineType>,
     pub(crate) types_at: Option<Millis>,
@@ -345,6 +356,12 @@
     /// Why this node was not ready, and since when; and the same of cuts: for the log.
     pub(crate) troubles: BTreeMap<&'static str, Millis>,
     pub(crate) gone: Gone,
+    // Zones
+    pub(crate) zone_signs: BTreeMap<String, ZoneSigns>,
+    /// Zones that are silent as a whole, and when they were last heard.
+    pub(crate) quiet_zones: BTreeMap<String, Millis>,
+    /// When they were heard again.
+    pub(crate) zones_back: BTreeMap<String, Millis>,
     // What waits to be recorded: see `results`
     pub(crate) results: BTreeMap<(TaskId, u64), Ended>,
     /// Tasks to be stopped so that they save, since their machine is about to be taken.
@@ -462,6 +479,10 @@
             trailing_since: None,
             watch_opened: now,
             asks: BTreeMap::new(),
+            ending_asks: BTreeSet::new(),
+            settle_busy: false,
+            turned_away: HashMap::new(),
+            reporting: BTreeMap::new(),
             types: HashMap::new(),
             types_at: None,
             types_busy: false,
@@ -476,6 +497,9 @@
             handover_probe_at: now,
             troubles: BTreeMap::new(),
             gone: Gone::default(),
+            zone_signs: BTreeMap::new(),
+            quiet_zones: BTreeMap::new(),
+            zones_back: BTreeMap::new(),
             results: BTreeMap::new(),
             saves: BTreeSet::new(),
             seen: BTreeMap::new(),
@@ -551,12 +575,22 @@
             Event::WatchGap => self.reload(),
             Event::Throttled => self.throttled(),
             Event::Cloud { token, answer } => self.cloud_answer(token, answer),
-            Event::Commanded { machine, reach } => self.commanded(machine, reach),
+            Event::Commanded {
+                machine,
+                reach,
+                report,
+            } => {
+                self.commanded(machine, reach);
+                if let Some(report) = report {
+                    self.heed_answer(&report);
+                }
+            }
             Event::Beat(beat) => self.heed(beat),
         }
         self.start_proof();
         if std::mem::take(&mut self.changed) {
             self.take_early();
+            self.tell_ended();
         }
         self.flush();
         self.look_up();
@@ -592,6 +626,8 @@
         self.unreached.clear();
         self.missing_since.clear();
         self.strange.clear();
+        self.quiet_zones.clear();
+        self.zones_back.clear();
         self.handover = None;
         self.silent_run = 0;
     }
@@ -872,6 +908,7 @@
             self.commit(txn, Purpose::Term, Priority::User);
         }
         self.note_format();
+        self.note_settled();
         if self.now >= self.unbarred_at + BARRED_MS {
             self.unbarred_at = self.now;
             self.cache.unbar();
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -51,7 +51,7 @@
                 || room.ram == 0
                 || m.phase != MachinePhase::Up
                 || self.condemned.contains_key(id)
-                || !self.recently_heard(id)
+                || !self.reachable(id, &m.zone)
             {
                 continue;
             }
@@ -130,7 +130,10 @@
                 None => 0,
             }
         };
-        let usable = |id: &str| self.recently_heard(id) && !self.condemned.contains_key(id);
+        let usable = |id: &str| {
+            let zone = self.cache.machine(id).map(|m| &m.zone);
+            zone.is_some_and(|z| self.reachable(id, z)) && !self.condemned.contains_key(id)
+        };
         let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
         let site = preempt::Site {
             cache: &self.cache,
@@ -176,6 +179,7 @@
             &self.types,
             work,
             |id| self.on_its_way(id),
+            |zone| self.zone_quiet(zone),
             self.wall,
         );
         if wishes.is_empty() {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -24,6 +24,9 @@
     Hire(u64),
     /// Of a node. Versions before format 2 pass over keys of this kind.
     Format(String),
+    /// Once on record, cancellations are told when all tasks are gone; see `cancels`. Versions
+    /// before format 3 pass over it.
+    Settled,
 }
 
 pub(crate) fn escape(s: &str) -> String {
@@ -66,6 +69,7 @@
             Key::Team(name) => format!("g/team/{}", escape(name)),
             Key::Hire(n) => format!("g/hire/{n:08}"),
             Key::Format(node) => format!("g/format/{}", escape(node)),
+            Key::Settled => "g/settled".into(),
         }
     }
 
@@ -83,6 +87,7 @@
             ("team", Some(name), None) => Key::Team(unescape(name)?),
             ("hire", Some(n), None) => Key::Hire(n.parse().ok()?),
             ("format", Some(node), None) => Key::Format(unescape(node)?),
+            ("settled", None, None) => Key::Settled,
             _ => return None,
         };
         Some(key)
@@ -354,6 +359,15 @@
     pub term: u64,
 }
 
+/// From this record's revision on cancellations are told only when all tasks are gone. Written once,
+/// never changed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SettledRecord {
+    /// The format that brought it.
+    #[serde(rename = "v")]
+    pub version: u32,
+}
+
 /// The cloud's machine types as last read: a node that starts while the cloud is down knows
 /// what jobs can run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -373,6 +387,7 @@
     Team(TeamRecord),
     Hire(HireRecord),
     Format(FormatRecord),
+    Settled(SettledRecord),
 }
 
 impl Record {
@@ -390,6 +405,7 @@
             Record::Team(r) => serde_json::to_value(r),
             Record::Hire(r) => serde_json::to_value(r),
             Record::Format(r) => serde_json::to_value(r),
+            Record::Settled(r) => serde_json::to_value(r),
         };
         value.unwrap_or(Value::Null)
     }
@@ -412,6 +428,7 @@
             Key::Team(_) => get(value).map(Record::Team),
             Key::Hire(_) => get(value).map(Record::Hire),
             Key::Format(_) => get(value).map(Record::Format),
+            Key::Settled => get(value).map(Record::Settled),
         }
     }
 }
@@ -453,6 +470,7 @@
     teams: Table<String, TeamRecord>,
     hires: Table<u64, HireRecord>,
     formats: Table<String, FormatRecord>,
+    settled: Table<(), SettledRecord>,
     /// Names of all nodes, as the settings have them.
     pub members: Vec<String>,
     /// Records that the state service refused to take as large as they would have become, and the
@@ -552,10 +570,35 @@
         self.open_job(id)
             .is_some_and(|s| !s.awaits.iter().all(done))
     }
-    /// Whether an open job needs a cancelled one, directly or through others. Nothing of it has
-    /// run or ever will, so it counts as cancelled before its own record says so.
+    /// Whether an open job needs a cancelled one, directly or through others, that is told as such.
+    /// Nothing of it has run or ever will, so it counts as cancelled before its own record says so.
     pub fn doomed(&self, id: &str) -> bool {
-        self.dependents.doomed().contains(id)
+        self.dependents.doomed().contains(id) && self.needs_ended(id)
+    }
+    fn needs_ended(&self, id: &str) -> bool {
+        let mut next: Vec<&str> = vec![id];
+        let mut seen: BTreeSet<&str> = BTreeSet::new();
+        while let Some(id) = next.pop() {
+            for awaited in self.open_job(id).iter().flat_map(|s| &s.awaits) {
+                match self.job(awaited).map(|j| j.phase) {
+                    Some(Phase::Cancelled) if !self.ending(awaited) => return true,
+                    Some(Phase::Open) if seen.insert(awaited) => next.push(awaited),
+                    _ => {}
+                }
+            }
+        }
+        false
+    }
+    /// Whether a job is cancelled on record, but not to be told as such yet: tasks of it may still
+    /// be somewhere. The copy must have reached the cancellation, or it may lack a claim that came
+    /// before. No claim comes after, so what is found to be over is so for good.
+    pub fn ending(&self, id: &str) -> bool {
+        let (stamp, settled) = (self.job_stamp(id), self.stamp(&Key::Settled));
+        let cancelled = self.job(id).is_some_and(|j| j.phase == Phase::Cancelled);
+        cancelled
+            && settled > 0
+            && stamp > settled
+            && (self.epoch < stamp || self.counts(id).booked > 0)
     }
     pub fn dependents(&self) -> &Dependents {
         &self.dependents
@@ -635,6 +678,7 @@
             Key::Team(id) => of(self.teams.get(id)),
             Key::Hire(n) => of(self.hires.get(n)),
             Key::Format(node) => of(self.formats.get(node)),
+            Key::Settled => of(self.settled.get(&())),
         }
     }
     pub fn get(&self, key: &Key) -> Option<Record> {
@@ -649,6 +693,7 @@
             Key::Team(id) => Record::Team(self.teams.get(id)?.0.clone()),
             Key::Hire(n) => Record::Hire(self.hire(n)?.clone()),
             Key::Format(node) => Record::Format(self.formats.get(node)?.0.clone()),
+            Key::Settled => Record::Settled(self.settled.get(&())?.0.clone()),
         })
     }
     pub fn job_stamp(&self, id: &str) -> u64 {
@@ -914,6 +959,9 @@
                 // What was too large in the old format may fit in the new one.
                 self.unbar();
             }
+            (Key::Settled, Record::Settled(r)) => {
+                keep(&mut self.settled, (), r, stamp);
+            }
             _ => {}
         }
     }
@@ -953,6 +1001,7 @@
             Key::Team(id) => drop_older(&mut self.teams, id, stamp),
             Key::Hire(n) => drop_older(&mut self.hires, n, stamp),
             Key::Format(node) => drop_older(&mut self.formats, node, stamp),
+            Key::Settled => drop_older(&mut self.settled, &(), stamp),
         }
     }
     fn keys(&self) -> Vec<Key> {
@@ -970,6 +1019,7 @@
             .chain(self.teams.keys().cloned().map(Key::Team))
             .chain(self.hires.keys().copied().map(Key::Hire))
             .chain(self.formats.keys().cloned().map(Key::Format))
+            .chain(self.settled.keys().map(|_| Key::Settled))
             .collect()
     }
     /// After a full reading that began at `epoch`: what it did not hold is gone, unless it
--- /dev/null
+++ b/crates/core/src/silence.rs
@@ -0,0 +1,130 @@
+//! Zones that fall silent as a whole. Machines die one by one, or many at once, but not all of a
+//! zone between two of their reports: then it is cut off, its machines run on, and a node inside
+//! goes on answering them. To delete them would end what the cut leaves alone.
+
+use crate::constants::*;
+use crate::model::*;
+use crate::node::*;
+use std::collections::BTreeMap;
+
+/// What is heard of a zone's machines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct ZoneSigns {
+    /// Machines that are up, of which some node has ever heard.
+    pub machines: u64,
+    /// The latest sign of life of any of them.
+    pub latest: Millis,
+}
+
+impl ZoneSigns {
+    /// Whether its silence says more than that of its machines one by one.
+    fn tells(&self) -> bool {
+        self.machines >= ZONE_LEAST
+    }
+
+    /// Milliseconds without a sign after which it counts as cut off: so many reports would have
+    /// come in meanwhile that chance is no explanation.
+    fn patience(&self, report_ms: Millis) -> Millis {
+        let overdue = report_ms * 5 / 4;
+        let many = report_ms * ZONE_REPORTS / self.machines.max(1);
+        2 * PEER_BEAT_MS + overdue.min(many)
+    }
+}
+
+impl Node {
+    /// The latest sign of life of a machine that any node is known to have had, if any: a check-in
+    /// or an answer to a direct command.
+    fn last_sign(&self, id: &str) -> Option<Millis> {
+        let own = self.heard.get(id).map(|h| h.at);
+        let told = self.told.get(id).map(|h| h.at);
+        own.max(told).max(self.answered.get(id).copied())
+    }
+
+    /// Notes which zones are silent as a whole.
+    pub(crate) fn judge_zones(&mut self) {
+        let mut signs: BTreeMap<String, ZoneSigns> = BTreeMap::new();
+        for (id, m, _) in self.cache.machines().filter(|(_, m, _)| m.is_up()) {
+            if let Some(at) = self.last_sign(id) {
+                if !signs.contains_key(&m.zone) {
+                    signs.insert(m.zone.clone(), ZoneSigns::default());
+                }
+                if let Some(zone) = signs.get_mut(&m.zone) {
+                    zone.machines += 1;
+                    zone.latest = zone.latest.max(at);
+                }
+            }
+        }
+        for (zone, s) in &signs {
+            // After standing still, or a start, the silence may be this node's own. A zone that was
+            // found silent stays so, however few of its machines are left, until it is heard.
+            let begins = s.tells() && self.now > s.latest + s.patience(self.settings.report_ms);
+            let lasts = (self.quiet_zones.get(zone)).is_some_and(|heard| s.latest <= *heard);
+            let quiet = self.settled() && (begins || lasts);
+            match (quiet, self.quiet_zones.contains_key(zone)) {
+                (true, false) => {
+                    let machines = s.machines;
+                    tracing::info!(zone, machines, "silent as a whole: cut off");
+                    self.quiet_zones.insert(zone.clone(), s.latest);
+                }
+                (false, true) => {
+                    let ms = self.now - self.quiet_zones.remove(zone).unwrap_or(self.now);
+                    tracing::info!(zone, ms, "heard again");
+                    self.zones_back.insert(zone.clone(), self.now);
+                }
+                _ => {}
+            }
+        }
+        self.quiet_zones.retain(|zone, _| signs.contains_key(zone));
+        self.zone_signs = signs;
+    }
+
+    /// Whether a machine's silence is its own: others of its zone have been heard since a command
+    /// to it failed. Of a zone with few machines that says nothing; one that stays silent for
+    /// minutes is given up in the end; and after a cut its machines have time to find a node.
+    pub(crate) fn silent_alone(&self, zone: &str, failed_at: Millis) -> bool {
+        let quiet = self.zone_quiet(zone);
+        let Some(signs) = (self.zone_signs.get(zone)).filter(|s| quiet || s.tells()) else {
+            return true;
+        };
+        let back = self.zones_back.get(zone);
+        if back.is_some_and(|at| self.now < at + self.move_time()) {
+            return false;
+        }
+        signs.latest > failed_at || self.now > signs.latest + ZONE_PATIENCE_MS
+    }
+
+    pub(crate) fn zone_quiet(&self, zone: &str) -> bool {
+        self.quiet_zones.contains_key(zone)
+    }
+
+    /// Whether work may be placed on a machine, or room made on it: it was heard lately, has not
+    /// failed to answer since, and its zone is not cut off.
+    pub(crate) fn reachable(&self, id: &str, zone: &str) -> bool {
+        let failed = self.unreached.get(id);
+        self.recently_heard(id)
+            && !self.zone_quiet(zone)
+            && failed.is_none_or(|at| self.heard_at(id) >= at.saturating_sub(COMMAND_LIMIT_MS))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_more_machines_a_zone_has_the_sooner_its_silence_tells() {
+        let of = |machines| ZoneSigns {
+            machines,
+            latest: 0,
+        };
+        assert!(!of(ZONE_LEAST - 1).tells() && of(ZONE_LEAST).tells());
+        let waits = [ZONE_LEAST, 60, 600].map(|n| of(n).patience(5_000));
+        assert_eq!(
+            waits[0],
+            2 * PEER_BEAT_MS + 6_250,
+            "each of them is overdue"
+        );
+        assert!(waits[0] > waits[1] && waits[1] > waits[2], "{waits:?}");
+        assert!(waits[2] < 1_200);
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -321,6 +321,7 @@
                 }
             }
             Purpose::Format => self.format_busy = false,
+            Purpose::Settle => self.settle_busy = false,
             Purpose::Sweep => self.sweep_busy = false,
             Purpose::Term => self.term_busy = false,
             Purpose::Hire(_) | Purpose::Delete(_) | Purpose::Types | Purpose::Hosts => {}
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -52,7 +52,7 @@
         let mut draft = Draft::limited(&self.cache, most);
         let mut jobs = Vec::new();
         for id in self.cache.dependents().doomed() {
-            let Some(job) = self.cache.job(id) else {
+            let Some(job) = self.cache.job(id).filter(|_| self.cache.doomed(id)) else {
                 continue;
             };
             if !draft.has_room(&self.settings, 1, 1, SMALL_RECORD_BYTES) {
@@ -118,6 +118,7 @@
         self.asked_at.retain(|id, _| cache.machine(id).is_some());
         self.missing_since
             .retain(|(task, at), _| cache.attempt(task, *at).is_some());
+        self.turned_away.retain(|id, _| cache.machine(id).is_some());
         self.delete_tried
             .retain(|id, _| cache.machine(id).is_some());
     }
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -229,7 +229,9 @@
                     token,
                     orders,
                 } => {
-                    workers.send(machine, &address, wire::command(session, token, &orders));
+                    let what = workers::What::of(&orders);
+                    let body = wire::command(session, token, &orders);
+                    workers.send(machine, &address, body, what);
                 }
                 Effect::Beat(beat) => {
                     let _ = beat_in.send(beat);
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Deserialize)]
 struct File {
     member: String,
+    /// The zone it stands in.
+    location: Option<String>,
     client_listen: SocketAddr,
     cluster_listen: SocketAddr,
     #[serde(default)]
@@ -281,6 +283,7 @@
             node: file.member,
             nodes,
             zones: p.zones.clone(),
+            zone: file.location.unwrap_or_default(),
             teams,
             goals,
             starts,
--- a/crates/glenmount/src/workers.rs
+++ b/crates/glenmount/src/workers.rs
@@ -1,7 +1,9 @@
 //! Direct commands to workers. Each is sent once; what becomes of it shows in check-ins.
 
 use crate::http::Http;
+use crate::wire;
 use glenmount_core::constants::COMMAND_LIMIT_MS;
+use glenmount_core::model::Order;
 use glenmount_core::node::{Event, Reach};
 use hyper::Method;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -14,11 +16,36 @@
 const ANSWER_BYTES: usize = 1 << 20;
 /// Commands on their way at once, so that unreachable workers do not use up the sockets.
 const IN_FLIGHT: usize = 64;
+/// The same for commands without orders, which only ask whether a machine answers: mostly silent
+/// ones, and starts must not wait behind them.
+const PROBES: usize = 24;
+
+/// What a command is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum What {
+    /// It has no orders.
+    Probe,
+    Starts,
+    /// Its answer shows at once what has ended.
+    Stops,
+}
+
+impl What {
+    pub fn of(orders: &[Order]) -> What {
+        let stop = |o: &Order| matches!(o, Order::Stop { .. });
+        match orders.iter().any(stop) {
+            true => What::Stops,
+            false if orders.is_empty() => What::Probe,
+            false => What::Starts,
+        }
+    }
+}
 
 pub struct Workers {
     http: Http,
     core: mpsc::Sender<Event>,
     slots: Arc<Semaphore>,
+    probes: Arc<Semaphore>,
 }
 
 impl Workers {
@@ -27,13 +54,17 @@
             http: Http::new(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), TIMEOUT, true),
             core,
             slots: Arc::new(Semaphore::new(IN_FLIGHT)),
+            probes: Arc::new(Semaphore::new(PROBES)),
         }
     }
 
-    pub fn send(&self, machine: String, address: &str, body: String) {
+    pub fn send(&self, machine: String, address: &str, body: String, what: What) {
         let core = self.core.clone();
         let target = address.parse::<SocketAddr>().ok();
-        let slots = self.slots.clone();
+        let slots = match what {
+            What::Probe => self.probes.clone(),
+            What::Starts | What::Stops => self.slots.clone(),
+        };
         let http = self.http.clone();
         let since = Instant::now();
         tokio::task::spawn_local(async move {
@@ -42,21 +73,32 @@
             let slot = timeout(TIMEOUT, slots.acquire_owned()).await;
             // Nor is one sent that this process stood still over: it would arrive late.
             let late = since.elapsed() > TIMEOUT;
+            let mut report = None;
             let reach = match (target, slot) {
                 (Some(addr), Ok(Ok(_slot))) if !late => {
                     let http = http.to(addr);
                     let answer = http
                         .call(Method::POST, "/do", Some(body), TIMEOUT, ANSWER_BYTES)
                         .await;
-                    match answer.map(|(status, _)| status) {
-                        Some(200) => Reach::Took,
+                    match answer {
+                        Some((200, body)) => {
+                            if what == What::Stops {
+                                report = wire::report(&body).ok().map(Box::new);
+                            }
+                            Reach::Took
+                        }
                         Some(_) => Reach::Refused,
                         None => Reach::Silent,
                     }
                 }
                 _ => Reach::NotSent,
             };
-            let _ = core.send(Event::Commanded { machine, reach }).await;
+            let event = Event::Commanded {
+                machine,
+                reach,
+                report,
+            };
+            let _ = core.send(event).await;
         });
     }
 }
