Connections to workers are not kept; those from users and workers are bounded by kind

The new line `connections` shows 550 to 810 from users and workers; the rest were connections of direct commands, kept open for 2 s each. Ruled out: check-ins held, users' polls.

Change: a command's connection ends with its answer. The service accepts connections itself and serves the warp filter on them: users and workers have bounds of their own, what was idle longest is closed before anything is refused, nothing under its answer, and the dead are closed after 90 s.

--- /dev/null
+++ b/crates/glenmount/src/connections.rs
@@ -0,0 +1,446 @@
+//! Connections from users, workers and health checks: how many of each are held, and which are
+//! closed when there are too many.
+//!
+//! A node has so many sockets (`settings.quota.sockets`), and one that finds none free refuses
+//! everybody alike. So users and workers have bounds of their own, and what has been idle longest
+//! is closed before anything is refused: whoever it was connects again with the next request.
+
+use hyper::service::Service;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{interval, Duration, Instant, MissedTickBehavior};
+use warp::http::{Request, Response};
+use warp::hyper::Body;
+
+/// Sockets left to what this node opens itself: commands, the state service, the cloud, siblings.
+const OUTGOING: usize = 128;
+/// Sockets left free beside these, one in so many: closing takes a moment.
+const SPARE_PART: usize = 20;
+/// Shares that users and workers may have of the rest, in tenths: neither can take all of it.
+const USERS_TENTHS: usize = 6;
+/// See there. When siblings are away all workers turn to this node.
+const WORKERS_TENTHS: usize = 8;
+/// Milliseconds after which a connection is closed on which nothing was ever asked.
+const SILENT_MS: u64 = 10_000;
+/// The same for one that has been used: users poll every 5 s, workers report as often, and those
+/// that went elsewhere, or are dead, leave theirs open.
+const IDLE_MS: u64 = 90_000;
+/// Period at which those are looked for.
+const REAP: Duration = Duration::from_secs(5);
+/// Period at which the numbers are logged.
+const LOG: Duration = Duration::from_secs(30);
+/// Time to wait for a connection to end when all are held and none is idle.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Nothing was asked yet.
+    New = 0,
+    /// Health checks.
+    Probe = 1,
+    User = 2,
+    Worker = 3,
+}
+
+const KINDS: [Kind; 4] = [Kind::New, Kind::Probe, Kind::User, Kind::Worker];
+
+impl Kind {
+    fn of(path: &str) -> Kind {
+        match path {
+            "/ready" => Kind::Probe,
+            "/checkin" => Kind::Worker,
+            _ => Kind::User,
+        }
+    }
+}
+
+/// Connections held at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub all: usize,
+    users: usize,
+    workers: usize,
+}
+
+impl Limits {
+    pub fn of(sockets: usize) -> Limits {
+        let own = OUTGOING.min(sockets / 4) + sockets / SPARE_PART;
+        let all = sockets.saturating_sub(own).max(4);
+        Limits {
+            all,
+            users: (all * USERS_TENTHS / 10).max(1),
+            workers: (all * WORKERS_TENTHS / 10).max(1),
+        }
+    }
+
+    fn most(&self, kind: Kind) -> usize {
+        match kind {
+            Kind::User => self.users,
+            Kind::Worker => self.workers,
+            Kind::New | Kind::Probe => self.all,
+        }
+    }
+}
+
+/// One connection, as its own task and the actor see it.
+#[derive(Debug, Default)]
+struct Entry {
+    kind: AtomicU8,
+    busy: AtomicBool,
+    /// Milliseconds, since the actor began, at which it was last used.
+    used: AtomicU64,
+    closing: AtomicBool,
+    close: Notify,
+}
+
+impl Entry {
+    fn kind(&self) -> Kind {
+        KINDS[usize::from(self.kind.load(Relaxed)).min(KINDS.len() - 1)]
+    }
+    fn idle(&self) -> bool {
+        !self.busy.load(Relaxed) && !self.closing.load(Relaxed)
+    }
+    fn shut(&self) {
+        self.closing.store(true, Relaxed);
+        self.close.notify_one();
+    }
+}
+
+/// What the connections' tasks tell the actor.
+enum News {
+    /// The first request told what it is.
+    Known(Kind),
+    Ended(u64),
+}
+
+/// What is held now. Owned by one actor.
+#[derive(Default)]
+struct Book {
+    entries: HashMap<u64, Arc<Entry>>,
+    counts: Arc<[AtomicUsize; 4]>,
+    closed: u64,
+}
+
+impl Book {
+    fn count(&self, kind: Kind) -> usize {
+        self.counts[kind as usize].load(Relaxed)
+    }
+
+    /// Closes the connection that has been idle longest, of one kind or of any. Health checks are
+    /// left alone: a node that they can't reach gets no users at all.
+    fn close_idlest(&mut self, kind: Option<Kind>) -> bool {
+        let fits = |e: &Entry| match kind {
+            Some(kind) => e.kind() == kind,
+            None => e.kind() != Kind::Probe,
+        };
+        let idle = self.entries.values().filter(|e| e.idle() && fits(e));
+        let Some(entry) = idle.min_by_key(|e| e.used.load(Relaxed)) else {
+            return false;
+        };
+        entry.shut();
+        self.closed += 1;
+        true
+    }
+
+    fn reap(&mut self, now_ms: u64) {
+        for entry in self.entries.values().filter(|e| e.idle()) {
+            let most = match entry.kind() {
+                Kind::New => SILENT_MS,
+                _ => IDLE_MS,
+            };
+            if now_ms > entry.used.load(Relaxed) + most {
+                entry.shut();
+                self.closed += 1;
+            }
+        }
+    }
+
+    fn forget(&mut self, id: u64) {
+        if let Some(entry) = self.entries.remove(&id) {
+            self.counts[entry.kind() as usize].fetch_sub(1, Relaxed);
+        }
+    }
+}
+
+/// Listens, and serves what comes in until the process ends.
+pub async fn listen<S>(addr: SocketAddr, limits: Limits, service: S) -> std::io::Result<()>
+where
+    S: Service<Request<Body>, Response = Response<Body>, Error = std::convert::Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    tokio::task::spawn_local(accept(listener, limits, service));
+    Ok(())
+}
+
+async fn accept<S>(listener: TcpListener, limits: Limits, service: S)
+where
+    S: Service<Request<Body>, Response = Response<Body>, Error = std::convert::Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let begun = Instant::now();
+    let (news_in, mut news) = mpsc::unbounded_channel();
+    let mut book = Book::default();
+    let mut next = 0;
+    let every = |period| {
+        let mut ticks = interval(period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        ticks
+    };
+    let (mut reap, mut log) = (every(REAP), every(LOG));
+    let mut peak = 0;
+    loop {
+        let full = book.entries.len() >= limits.all;
+        if full {
+            book.close_idlest(None);
+        }
+        tokio::select! {
+            some = news.recv() => match some {
+                Some(News::Known(kind)) => {
+                    if book.count(kind) > limits.most(kind) {
+                        book.close_idlest(Some(kind));
+                    }
+                }
+                Some(News::Ended(id)) => book.forget(id),
+                None => return,
+            },
+            _ = reap.tick() => book.reap(begun.elapsed().as_millis() as u64),
+            _ = log.tick() => {
+                let (users, workers) = (book.count(Kind::User), book.count(Kind::Worker));
+                let (held, closed) = (book.entries.len(), std::mem::take(&mut book.closed));
+                tracing::info!(users, workers, held, peak, closed, most = limits.all, "connections");
+                peak = held;
+            }
+            _ = tokio::time::sleep(FULL_PAUSE), if full => {}
+            accepted = listener.accept(), if !full => {
+                let Ok((stream, _)) = accepted else {
+                    // No socket is free, most likely: what is idle makes room.
+                    book.close_idlest(None);
+                    tokio::time::sleep(FULL_PAUSE).await;
+                    continue;
+                };
+                let entry = Arc::new(Entry::default());
+                entry.used.store(begun.elapsed().as_millis() as u64, Relaxed);
+                book.counts[Kind::New as usize].fetch_add(1, Relaxed);
+                book.entries.insert(next, entry.clone());
+                peak = peak.max(book.entries.len());
+                let served = Served {
+                    id: next,
+                    entry,
+                    begun,
+                    counts: book.counts.clone(),
+                    news: news_in.clone(),
+                };
+                tokio::task::spawn_local(served.serve(stream, service.clone()));
+                next += 1;
+            }
+        }
+    }
+}
+
+/// A connection being served.
+struct Served {
+    id: u64,
+    entry: Arc<Entry>,
+    begun: Instant,
+    counts: Arc<[AtomicUsize; 4]>,
+    news: mpsc::UnboundedSender<News>,
+}
+
+impl Served {
+    async fn serve<S>(self, stream: TcpStream, service: S)
+    where
+        S: Service<Request<Body>, Response = Response<Body>, Error = std::convert::Infallible>
+            + Clone
+            + Send
+            + 'static,
+        S::Future: Send + 'static,
+    {
+        let _ = stream.set_nodelay(true);
+        let (entry, counts, news, begun) = (
+            self.entry.clone(),
+            self.counts,
+            self.news.clone(),
+            self.begun,
+        );
+        let each = hyper::service::service_fn(move |request: Request<Body>| {
+            let kind = Kind::of(request.uri().path());
+            if entry.kind() == Kind::New {
+                counts[Kind::New as usize].fetch_sub(1, Relaxed);
+                counts[kind as usize].fetch_add(1, Relaxed);
+                entry.kind.store(kind as u8, Relaxed);
+                let _ = news.send(News::Known(kind));
+            }
+            entry.busy.store(true, Relaxed);
+            let entry = entry.clone();
+            let answer = service.clone().call(request);
+            async move {
+                let answer = answer.await;
+                entry
+                    .used
+                    .store(begun.elapsed().as_millis() as u64, Relaxed);
+                entry.busy.store(false, Relaxed);
+                answer
+            }
+        });
+        let mut http = hyper::server::conn::Http::new();
+        http.http1_only(true).http1_keep_alive(true);
+        let mut connection = std::pin::pin!(http.serve_connection(stream, each));
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = self.entry.close.notified() => {
+                // What is under way is answered first, with `Connection: close`. One that never
+                // asked anything has nothing to wait for.
+                if self.entry.kind() != Kind::New {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = connection.await;
+                }
+            }
+        }
+        let _ = self.news.send(News::Ended(self.id));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::time::{sleep, timeout};
+
+    #[test]
+    fn neither_users_nor_workers_can_take_all() {
+        for sockets in [32, 1_200, 1_989, 3_851] {
+            let l = Limits::of(sockets);
+            assert!(l.users < l.all && l.workers < l.all && l.all < sockets);
+        }
+        assert!(
+            Limits::of(1_989).workers > 1_300,
+            "a whole fleet's, if need be"
+        );
+    }
+
+    async fn ask(stream: &mut TcpStream, path: &str) -> Option<String> {
+        let text = format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n");
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let mut buffer = [0; 1_024];
+        let n = timeout(Duration::from_secs(2), stream.read(&mut buffer)).await;
+        let n = n.ok()?.ok().filter(|n| *n > 0)?;
+        Some(String::from_utf8_lossy(&buffer[..n]).into_owned())
+    }
+
+    /// Whether the other side has closed it.
+    async fn closed(stream: &mut TcpStream) -> bool {
+        let mut byte = [0];
+        matches!(
+            timeout(Duration::from_millis(300), stream.read(&mut byte)).await,
+            Ok(Ok(0) | Err(_))
+        )
+    }
+
+    fn story<F: std::future::Future<Output = ()>>(
+        limits: Limits,
+        tell: impl FnOnce(SocketAddr) -> F,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let local = tokio::task::LocalSet::new();
+        local.block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let addr = listener.local_addr().unwrap();
+            let service = hyper::service::service_fn(|request: Request<Body>| async move {
+                if request.uri().path() == "/v2/runs/slow" {
+                    sleep(Duration::from_millis(400)).await;
+                }
+                Ok::<_, std::convert::Infallible>(Response::new(Body::from("ok")))
+            });
+            tokio::task::spawn_local(accept(listener, limits, service));
+            timeout(Duration::from_secs(20), tell(addr))
+                .await
+                .expect("in time");
+        });
+    }
+
+    #[test]
+    fn a_flood_of_users_closes_the_idlest_of_them_and_no_worker() {
+        let limits = Limits {
+            all: 12,
+            users: 4,
+            workers: 6,
+        };
+        story(limits, |addr| async move {
+            let mut workers = Vec::new();
+            for _ in 0..3 {
+                let mut w = TcpStream::connect(addr).await.unwrap();
+                assert!(ask(&mut w, "/checkin").await.is_some());
+                workers.push(w);
+            }
+            let mut users = Vec::new();
+            for _ in 0..30 {
+                let mut u = TcpStream::connect(addr).await.unwrap();
+                assert!(
+                    ask(&mut u, "/v2/runs/j-1").await.is_some(),
+                    "each is answered"
+                );
+                users.push(u);
+                sleep(Duration::from_millis(5)).await;
+            }
+            for w in &mut workers {
+                assert!(ask(w, "/checkin").await.is_some(), "no worker lost its own");
+            }
+            let last = users.len() - 1;
+            assert!(closed(&mut users[0]).await && !closed(&mut users[last]).await);
+        });
+    }
+
+    #[test]
+    fn one_that_waits_for_its_answer_is_never_closed_under_it() {
+        let limits = Limits {
+            all: 6,
+            users: 3,
+            workers: 3,
+        };
+        story(limits, |addr| async move {
+            let slow = tokio::task::spawn_local(async move {
+                let mut u = TcpStream::connect(addr).await.unwrap();
+                ask(&mut u, "/v2/runs/slow").await
+            });
+            sleep(Duration::from_millis(50)).await;
+            for _ in 0..12 {
+                let mut u = TcpStream::connect(addr).await.unwrap();
+                assert!(ask(&mut u, "/v2/runs/j-1").await.is_some());
+            }
+            assert!(slow.await.unwrap().is_some_and(|a| a.contains("200 OK")));
+        });
+    }
+
+    #[test]
+    fn connections_that_ask_nothing_make_room_for_those_that_do() {
+        let limits = Limits {
+            all: 5,
+            users: 4,
+            workers: 4,
+        };
+        story(limits, |addr| async move {
+            let mut silent = Vec::new();
+            for _ in 0..5 {
+                silent.push(TcpStream::connect(addr).await.unwrap());
+                sleep(Duration::from_millis(5)).await;
+            }
+            let mut worker = TcpStream::connect(addr).await.unwrap();
+            assert!(ask(&mut worker, "/checkin").await.is_some());
+            assert!(closed(&mut silent[0]).await);
+        });
+    }
+}
--- a/crates/glenmount/src/http.rs
+++ b/crates/glenmount/src/http.rs
@@ -15,9 +15,9 @@
     /// `once`: nothing is ever sent a second time, not even what a closed connection may
     /// have swallowed.
     pub fn new(addr: SocketAddr, connect_timeout: Duration, once: bool) -> Http {
-        // Commands go to hundreds of workers, to each now and then: kept open, the connections
-        // to them would use up the sockets that check-ins and users need.
-        let (idle, idle_s) = if once { (1, 2) } else { (8, 30) };
+        // Commands go to hundreds of workers a second after a start or an outage, to each now and
+        // then: kept open for 2 s, the connections to them took 1,200 of 1,989 sockets.
+        let (idle, idle_s) = if once { (0, 1) } else { (8, 30) };
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod cloud;
+mod connections;
 mod http;
 mod peer;
 mod server;
@@ -138,15 +139,19 @@
         calls: calls_in,
         ready: ready.clone(),
     };
-    let (_, server) = warp::serve(server::routes(door))
-        .try_bind_ephemeral(config.client_listen)
-        .map_err(|e| {
-            format!(
-                "client_listen: can't listen on {}: {e}",
-                config.client_listen
-            )
-        })?;
-    tokio::task::spawn_local(server);
+    let limits = connections::Limits::of(config.sockets as usize);
+    connections::listen(
+        config.client_listen,
+        limits,
+        warp::service(server::routes(door)),
+    )
+    .await
+    .map_err(|e| {
+        format!(
+            "client_listen: can't listen on {}: {e}",
+            config.client_listen
+        )
+    })?;
 
     let state = state::client(
         state::connection(config.state),
