Services start where their images are, by stopping batches there

Cause: 27 to 34 in 100 of the services' starts fetched their image for 2 to 7 s, placed at once wherever there was room, though a batch's task could be stopped on a machine that has the image in half a second. Ruled out: fetching ahead, for which the protocol has no way.

Change: a service of production rank whose image takes more than 1 s to fetch waits up to 1 s, if all of its tasks could have room on machines with the image once batches there are stopped; these are stopped at once. Nothing is rented for it meanwhile. After that it goes where there is room, as before.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -253,6 +253,11 @@
 /// 12 s hardly any task qualified when it mattered. Services
 /// may waste more: until one is up it serves nobody.
 pub const PREEMPT_WASTE_MS: u64 = 45_000;
+/// Milliseconds that a service waits for room on machines with its image: a stop, its proof and the
+/// claim take some 500.
+pub const WARM_PATIENCE_MS: u64 = 1_000;
+/// Milliseconds of a fetch, at the fastest type's rate, from which that is worth it.
+pub const WARM_WORTH_MS: u64 = 1_000;
 /// Milliseconds that work waits before others are stopped for it: room often comes by itself.
 pub const PREEMPT_AFTER_MS: u64 = 250;
 /// The same for work that is not urgent: what is within a guarantee is to start in some 10 s, and a
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -46,6 +46,8 @@
     pub suspect: bool,
     /// All of them fit into what is left of their team's guarantee.
     pub within: bool,
+    /// For now only machines with its image will do: on such a one room is soon made.
+    pub warm_only: bool,
     pub zones: PlaceRecord,
     /// When its tasks could have started.
     pub at: WallMs,
@@ -153,6 +155,7 @@
             avoid,
             suspect,
             within: false,
+            warm_only: false,
             zones,
             at: ready_at,
         });
@@ -354,7 +357,7 @@
         let Some(spec) = self.cache.open_job(&waiting.job) else {
             return placement;
         };
-        if waiting.indices.is_empty() {
+        if waiting.indices.is_empty() || waiting.warm_only && !warm {
             return placement;
         }
         let image = self.cache.image_id(&waiting.set.image);
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -70,6 +70,8 @@
                 carrier: self.carrier(id, m),
             });
         }
+        let hold = self.hold_for_images(&mut work, &pulls);
+        self.lookup_at = self.lookup_at.min(self.now.saturating_add(hold));
         let plan = lookup::plan(
             &self.cache,
             &self.settings,
@@ -90,10 +92,50 @@
         if !full {
             work.retain(|w| !w.indices.is_empty() && !w.suspect);
             self.preempt(&work, &pulls);
+            work.retain(|w| !w.warm_only);
             self.rent(&work);
         }
     }
 
+    /// A service whose image would have to be fetched waits a moment where stopping a batch's task on
+    /// a machine that has it lets it start sooner. Milliseconds until the first of these goes where
+    /// there is room after all.
+    fn hold_for_images(
+        &self,
+        work: &mut [lookup::Waiting],
+        pulls: &HashMap<String, Pull>,
+    ) -> Millis {
+        let usable = |id: &str| self.usable(id);
+        let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
+        let site = preempt::Site {
+            cache: &self.cache,
+            settings: &self.settings,
+            types: &self.types,
+        };
+        let rates = self.types.values().map(|t| t.fetch_gb_per_s);
+        let rate = rates.fold(0.001, f64::max);
+        let mut next = Millis::MAX;
+        for w in work.iter_mut().filter(|w| w.own_rank == Rank::Production) {
+            let left = (w.at + WARM_PATIENCE_MS).saturating_sub(self.wall);
+            let spec = self.cache.open_job(&w.job);
+            let fetch_s = spec.map_or(0.0, |s| s.image_gb / rate);
+            if left > 0
+                && fetch_s * 1_000.0 > WARM_WORTH_MS as f64
+                && preempt::warm_room(&site, w, usable, rank) >= w.indices.len() as u64
+            {
+                w.warm_only = true;
+                next = next.min(left);
+            }
+        }
+        next
+    }
+
+    /// Whether a machine may be counted on for what waits.
+    fn usable(&self, id: &str) -> bool {
+        let zone = self.cache.machine(id).map(|m| &m.zone);
+        zone.is_some_and(|z| self.reachable(id, z)) && !self.condemned.contains_key(id)
+    }
+
     /// Stops work of lower rank for what found no room.
     fn preempt(&mut self, work: &[lookup::Waiting], pulls: &HashMap<String, Pull>) {
         if work.is_empty() || !self.may_write() || self.now < self.preempted_at + PREEMPT_GAP_MS {
@@ -101,6 +143,7 @@
         }
         // Urgent work is not kept waiting; other work waits a little for room to come by itself.
         let after = |w: &lookup::Waiting| match w.own_rank {
+            _ if w.warm_only => Some(0),
             Rank::High | Rank::Production => Some(PREEMPT_AFTER_MS),
             Rank::Normal => Some(PREEMPT_LATER_MS),
             Rank::Low => Some(PREEMPT_LATER_MS).filter(|_| w.within),
@@ -130,10 +173,7 @@
                 None => 0,
             }
         };
-        let usable = |id: &str| {
-            let zone = self.cache.machine(id).map(|m| &m.zone);
-            zone.is_some_and(|z| self.reachable(id, z)) && !self.condemned.contains_key(id)
-        };
+        let usable = |id: &str| self.usable(id);
         let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
         let site = preempt::Site {
             cache: &self.cache,
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -80,6 +80,39 @@
     pub types: &'a HashMap<String, MachineType>,
 }
 
+/// Tasks of a job that could soon be on machines with its image, if what is of lower rank there is
+/// stopped.
+pub fn warm_room(
+    site: &Site,
+    work: &Waiting,
+    usable: impl Fn(&str) -> bool,
+    rank: impl Fn(&str, &JobSpec) -> Rank,
+) -> u64 {
+    let Some(spec) = site.cache.open_job(&work.job) else {
+        return 0;
+    };
+    let mut tasks = 0;
+    for (id, m, _) in site.cache.machines() {
+        let fits = m.phase == MachinePhase::Up
+            && site.cache.has_image(id, &spec.image)
+            && spec.allows(&m.type_name, &m.zone, m.spot)
+            && zone_room(spec, &work.zones, &m.zone) > 0
+            && usable(id);
+        let Some(kind) = site.types.get(&m.type_name).filter(|_| fits) else {
+            continue;
+        };
+        let mut staying = Room::default();
+        for (task, p) in site.cache.bookings(id) {
+            let lower = |s: &JobSpec| s.shape == Shape::Array && rank(&task.job, s) < work.own_rank;
+            if !site.cache.open_job(&task.job).is_some_and(lower) {
+                staying = staying.plus(&p.need);
+            }
+        }
+        tasks += kind.room.less(&staying).count(&spec.need);
+    }
+    tasks
+}
+
 /// Tasks to stop, with their machines, so that waiting work gets started.
 /// `age` tells how long an attempt has been booked, `rank` what a job counts as for the sake of
 /// those that need it.
@@ -161,6 +194,7 @@
             let fits = |m: &Coming| {
                 spec.allows(&m.record.type_name, &m.record.zone, m.record.spot)
                     && zone_room(spec, &zones, &m.record.zone) > 0
+                    && (!w.warm_only || cache.has_image(m.id, &spec.image))
             };
             if let Some(m) = machines
                 .iter_mut()
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1316,3 +1316,28 @@
         assert!(w.starts > 20, "seed {seed}: {} starts", w.starts);
     }
 }
+
+/// Room that is free, but where its image would be fetched for seconds, used to be taken at once,
+/// though a batch's task on a machine with the image could be stopped in half of one.
+#[test]
+fn a_service_starts_where_its_image_is_though_a_batch_must_leave() {
+    let mut w = kept(90, 1, 4);
+    w.capacity = 0;
+    w.run_ms = 120_000;
+    let mut first = service("j-1", 1);
+    (first.image, first.image_gb) = ("svc".into(), 4.0);
+    w.submit(0, first.clone());
+    w.until(10_000, "runs", |w| w.running("j-1") == 1);
+    let warm = w.machine_of("j-1").unwrap();
+    w.cancel(0, "j-1");
+    w.run(3_000);
+    // A batch on every machine, room for one more task on one without the image.
+    w.submit(0, job("j-2", 7));
+    w.until(10_000, "runs", |w| w.running("j-2") == 7);
+    first.id = "j-3".into();
+    let r = w.submit(0, first);
+    w.answer(r);
+    w.until(3_000, "runs", |w| w.running("j-3") == 1);
+    assert_eq!(w.machine_of("j-3"), Some(warm));
+    w.check_records();
+}
