--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -107,11 +107,7 @@
     ) -> Millis {
         let usable = |id: &str| self.usable(id);
         let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
-        let site = preempt::Site {
-            cache: &self.cache,
-            settings: &self.settings,
-            types: &self.types,
-        };
+        let site = self.site();
         let rates = self.types.values().map(|t| t.fetch_gb_per_s);
         let rate = rates.fold(0.001, f64::max);
         let mut next = Millis::MAX;
@@ -130,6 +126,14 @@
         next
     }
 
+    fn site(&self) -> preempt::Site<'_> {
+        preempt::Site {
+            cache: &self.cache,
+            settings: &self.settings,
+            types: &self.types,
+        }
+    }
+
     /// Whether a machine may be counted on for what waits.
     fn usable(&self, id: &str) -> bool {
         let zone = self.cache.machine(id).map(|m| &m.zone);
@@ -175,11 +179,7 @@
         };
         let usable = |id: &str| self.usable(id);
         let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
-        let site = preempt::Site {
-            cache: &self.cache,
-            settings: &self.settings,
-            types: &self.types,
-        };
+        let site = self.site();
         let stops = preempt::victims(site, &ripe, usable, age, rank);
         let mut draft = Draft::new(&self.cache);
         let mut chosen = Vec::new();
--- /dev/null
+++ b/crates/core/tests/sizes.rs
@@ -0,0 +1,54 @@
+//! What a node does by the number of machines. A measurement, run by hand:
+//! `cargo test --release -p glenmount-core --test sizes -- --ignored --nocapture`
+
+mod world;
+
+use world::*;
+
+#[test]
+#[ignore = "a measurement of minutes"]
+fn cost_by_size() {
+    println!("machines  events/s  us/event  node share  txns/s  changes/s  beat KB");
+    let mut per_event = Vec::new();
+    for machines in [300, 1_250, 2_500, 5_000] {
+        let mut w = World::new(7, 3, machines);
+        w.unchecked = true;
+        w.settings.idle_return_ms = 3_600_000;
+        w.settings.report_ms = 5_000;
+        w.settings.lease_ms = 26_500;
+        w.settings.cancel_ms = 51_500;
+        w.settings.write_rps = 60.0;
+        w.settings.txn_ops = 40;
+        w.settings.value_bytes = 16 * 1024;
+        w.capacity = 0;
+        w.run_ms = 40_000;
+        w.run(40_000);
+        // A third of the machines in use, by services and batches, which come and go.
+        let jobs = machines / 30;
+        for i in 0..jobs {
+            w.submit(i % 3, service(&format!("j-{i}"), 10));
+            w.run(100);
+        }
+        let begun = (w.events, w.spent, w.txns, w.changes);
+        let seconds = 30;
+        for i in 0..seconds {
+            let id = format!("j-9{i:03}");
+            w.submit(i % 3, job(&id, (machines / 100) as u32));
+            w.run(1_000);
+        }
+        let events = w.events - begun.0;
+        let spent = (w.spent - begun.1).as_secs_f64();
+        let us = spent * 1e6 / events as f64;
+        println!(
+            "{machines:8}  {:8.0}  {us:8.1}  {:9.2}%  {:6.1}  {:9.1}  {:7.1}",
+            events as f64 / seconds as f64,
+            spent * 100.0 / seconds as f64 / 3.0,
+            f64::from(w.txns - begun.2) / seconds as f64,
+            f64::from(w.changes - begun.3) / seconds as f64,
+            w.beat_bytes as f64 / 1024.0,
+        );
+        per_event.push(us / machines as f64);
+    }
+    // Nothing is worse than linear in the machines, apart from what the measurement itself varies.
+    assert!(per_event[3] < per_event[0] * 1.5, "{per_event:?}");
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -170,6 +170,13 @@
     next_request: u64,
     pub mishaps: Mishaps,
     pub starts: u32,
+    /// For measurements: the rules are not checked, which takes longer than all else.
+    pub unchecked: bool,
+    /// Events that nodes handled, and the time this took.
+    pub events: u64,
+    pub spent: std::time::Duration,
+    /// Bytes, about, of the last beat.
+    pub beat_bytes: usize,
     /// Replies with starts that workers never saw.
     pub lost_starts: u32,
 }
@@ -375,6 +382,10 @@
             next_request: 1,
             mishaps: Mishaps::default(),
             starts: 0,
+            unchecked: false,
+            events: 0,
+            spent: std::time::Duration::ZERO,
+            beat_bytes: 0,
             lost_starts: 0,
         };
         for i in 0..nodes {
@@ -779,7 +790,9 @@
             let act = self.queue.remove(&(at, n)).unwrap();
             self.now = at;
             self.act(act);
-            self.check_rules();
+            if !self.unchecked {
+                self.check_rules();
+            }
         }
         self.now = end;
     }
@@ -830,7 +843,10 @@
             true => seen_by_old(event),
             false => event,
         };
+        let begun = std::time::Instant::now();
         let effects = node.handle(now, wall, event);
+        self.spent += begun.elapsed();
+        self.events += 1;
         for effect in effects {
             match effect {
                 Effect::User { request, reply } => self.user_told(request, reply),
@@ -934,6 +950,7 @@
                     self.at(delay, act);
                 }
                 Effect::Beat(beat) => {
+                    self.beat_bytes = beat.heard.iter().map(|h| h.0.len() + 12).sum();
                     for m in 0..self.nodes.len() {
                         let cut = |slot: &NodeSlot| slot.cut_from_peers;
                         if m != n
--- a/crates/core/tests/zones.rs
+++ b/crates/core/tests/zones.rs
@@ -8,15 +8,20 @@
 use glenmount_core::records::*;
 use world::*;
 
-/// Machines in both zones, none ever returned for having nothing to do, with leases long enough
-/// to find another node.
-fn fleet(seed: u64, machines: usize) -> World {
-    let mut w = World::new(seed, 3, machines);
+/// No machine is returned for having nothing to do, none is rented, and leases are long enough to find
+/// another node.
+fn long_leases(w: &mut World) {
     w.settings.idle_return_ms = 3_600_000;
     w.settings.report_ms = 5_000;
     w.settings.lease_ms = 26_500;
     w.settings.cancel_ms = 51_500;
     w.capacity = 0;
+}
+
+/// Machines in both zones.
+fn fleet(seed: u64, machines: usize) -> World {
+    let mut w = World::new(seed, 3, machines);
+    long_leases(&mut w);
     w.run(9_000);
     w
 }
@@ -257,11 +262,7 @@
 fn cancellations_told_by_the_old_version_are_in_time_behind_a_cut() {
     for delay in [0, 100, 900, 1_800, 2_600, 3_300, 4_200, 6_000, 9_000] {
         let mut w = World::old(760 + delay, 3, 24);
-        w.settings.idle_return_ms = 3_600_000;
-        w.settings.report_ms = 5_000;
-        w.settings.lease_ms = 26_500;
-        w.settings.cancel_ms = 51_500;
-        w.capacity = 0;
+        long_leases(&mut w);
         w.run(9_000);
         for i in 0..6 {
             w.submit(0, scattered(&format!("j-{i}"), 2));
@@ -314,13 +315,7 @@
 #[test]
 fn a_node_that_restarts_inside_a_cut_during_an_upgrade_renews_nothing() {
     let mut w = World::old(781, 3, 24);
-    w.settings.idle_return_ms = 3_600_000;
-    (
-        w.settings.report_ms,
-        w.settings.lease_ms,
-        w.settings.cancel_ms,
-    ) = (5_000, 26_500, 51_500);
-    w.capacity = 0;
+    long_leases(&mut w);
     w.run(9_000);
     w.submit(0, scattered("j-1", 8));
     w.until(20_000, "up", |w| up(w, "j-1", 8));
@@ -373,11 +368,7 @@
     for zones in [2, 1] {
         let mut w = World::new(790, 3, 12);
         w.settings.zones.truncate(zones);
-        w.settings.idle_return_ms = 3_600_000;
-        w.settings.report_ms = 5_000;
-        w.settings.lease_ms = 26_500;
-        w.settings.cancel_ms = 51_500;
-        w.capacity = 0;
+        long_leases(&mut w);
         if zones == 1 {
             for worker in w.workers.values_mut() {
                 worker.zone = "east".into();
@@ -404,11 +395,7 @@
 fn workers_that_find_no_other_node_are_kept() {
     let mut w = World::new(791, 3, 12);
     w.settings.zones.truncate(1);
-    w.settings.idle_return_ms = 3_600_000;
-    w.settings.report_ms = 5_000;
-    w.settings.lease_ms = 26_500;
-    w.settings.cancel_ms = 51_500;
-    w.capacity = 0;
+    long_leases(&mut w);
     for worker in w.workers.values_mut() {
         worker.zone = "east".into();
     }
--- a/crates/glenmount/src/connections.rs
+++ b/crates/glenmount/src/connections.rs
@@ -338,6 +338,13 @@
         Some(String::from_utf8_lossy(&buffer[..n]).into_owned())
     }
 
+    /// A connection on which something was asked and answered.
+    async fn asked(addr: SocketAddr, path: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        assert!(ask(&mut stream, path).await.is_some(), "each is answered");
+        stream
+    }
+
     /// Whether the other side has closed it.
     async fn closed(stream: &mut TcpStream) -> bool {
         let mut byte = [0];
@@ -382,18 +389,11 @@
         story(limits, |addr| async move {
             let mut workers = Vec::new();
             for _ in 0..3 {
-                let mut w = TcpStream::connect(addr).await.unwrap();
-                assert!(ask(&mut w, "/checkin").await.is_some());
-                workers.push(w);
+                workers.push(asked(addr, "/checkin").await);
             }
             let mut users = Vec::new();
             for _ in 0..30 {
-                let mut u = TcpStream::connect(addr).await.unwrap();
-                assert!(
-                    ask(&mut u, "/v2/runs/j-1").await.is_some(),
-                    "each is answered"
-                );
-                users.push(u);
+                users.push(asked(addr, "/v2/runs/j-1").await);
                 sleep(Duration::from_millis(5)).await;
             }
             for w in &mut workers {
@@ -418,8 +418,7 @@
             });
             sleep(Duration::from_millis(50)).await;
             for _ in 0..12 {
-                let mut u = TcpStream::connect(addr).await.unwrap();
-                assert!(ask(&mut u, "/v2/runs/j-1").await.is_some());
+                asked(addr, "/v2/runs/j-1").await;
             }
             assert!(slow.await.unwrap().is_some_and(|a| a.contains("200 OK")));
         });
@@ -438,8 +437,7 @@
                 silent.push(TcpStream::connect(addr).await.unwrap());
                 sleep(Duration::from_millis(5)).await;
             }
-            let mut worker = TcpStream::connect(addr).await.unwrap();
-            assert!(ask(&mut worker, "/checkin").await.is_some());
+            asked(addr, "/checkin").await;
             assert!(closed(&mut silent[0]).await);
         });
     }
