Estimates of run times: a package of its own, pure and bounded

A class remembers its latest 24 jobs in some 400 bytes: mean logarithm of the run times, the owner's estimate, image. From these a mixture of normal distributions: latest weigh most, run times scaled by the owner's estimates as far as these have told anything, jobs before a change of level set aside, images told apart where they tell, runs cut short moved to what is longer (Efron), the job's own finished tasks as evidence. New classes fall back to the bias of their team, then of all, then to the owner's word.

Ruled out: a plain mean and quantile sketches over all runs (neither follows a change within a few runs, and a job of a hundred tasks would outweigh ten others).

--- /dev/null
+++ b/crates/runtimes/src/book.rs
@@ -0,0 +1,279 @@
+//! All classes, and what stands in for those that are new: their team's bias, that of all teams,
+//! then nothing but the owner's word.
+
+use crate::constants::*;
+use crate::history::{image_tag, job_tag, Batch, History};
+use crate::mixture::{Mixture, Part};
+use crate::{ln_expect, Run};
+use std::collections::HashMap;
+
+/// Names a class of a team, the same everywhere.
+pub type ClassId = u64;
+
+pub fn class_id(team: &str, class: &str) -> ClassId {
+    crate::hash(&[team, class])
+}
+
+/// What is asked about.
+#[derive(Clone, Copy, Debug)]
+pub struct About<'a> {
+    pub team: &'a str,
+    pub class: &'a str,
+    pub image: &'a str,
+    pub job: &'a str,
+    /// Seconds; 0 if the owner gave no estimate.
+    pub expect_s: f64,
+}
+
+impl<'a> From<&'a Run> for About<'a> {
+    fn from(run: &'a Run) -> About<'a> {
+        About {
+            team: &run.team,
+            class: &run.class,
+            image: &run.image,
+            job: &run.job,
+            expect_s: run.expect_s,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Class {
+    team: String,
+    name: String,
+    history: History,
+    /// Runs not recorded yet, by job, in the order in which these were first heard of.
+    fresh: Vec<Batch>,
+    /// The two together.
+    whole: History,
+    /// When it was last used, counted in runs.
+    used: u64,
+}
+
+impl Class {
+    fn join(&mut self) {
+        self.whole = self.history.clone();
+        for batch in &self.fresh {
+            self.whole.take(batch);
+        }
+    }
+    fn fresh(&mut self, tag: u32) -> Option<&mut Batch> {
+        self.fresh.iter_mut().find(|b| b.job.tag == tag)
+    }
+}
+
+/// A normal distribution of logarithms, and the jobs that it rests on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bias {
+    jobs: f64,
+    mean: f64,
+    var: f64,
+}
+
+impl Bias {
+    /// Drawn towards another, as far as it rests on few jobs.
+    fn towards(self, parent: (f64, f64)) -> (f64, f64) {
+        let share = self.jobs / (self.jobs + PARENT_JOBS);
+        let mean = parent.0 + (self.mean - parent.0) * share;
+        // What the two means are apart counts as doubt.
+        let apart = (self.mean - parent.0).powi(2) * share * (1.0 - share);
+        (mean, parent.1 + (self.var - parent.1) * share + apart)
+    }
+}
+
+fn bias(excess: impl Iterator<Item = f64>) -> Bias {
+    let all: Vec<f64> = excess.collect();
+    if all.is_empty() {
+        return Bias::default();
+    }
+    let jobs = all.len() as f64;
+    let mean = all.iter().sum::<f64>() / jobs;
+    let var = all.iter().map(|e| (e - mean).powi(2)).sum::<f64>() / (jobs - 1.0).max(1.0);
+    Bias { jobs, mean, var }
+}
+
+/// What is learned, bounded.
+#[derive(Debug, Default)]
+pub struct Book {
+    classes: HashMap<ClassId, Class>,
+    /// Biases of teams and of all, until something changes.
+    biases: Option<(HashMap<String, Bias>, Bias)>,
+    clock: u64,
+}
+
+impl Book {
+    pub fn len(&self) -> usize {
+        self.classes.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.classes.is_empty()
+    }
+
+    fn class(&mut self, team: &str, class: &str) -> &mut Class {
+        let id = class_id(team, class);
+        if !self.classes.contains_key(&id) && self.classes.len() >= CLASSES_KEPT {
+            // Those with something to record go last.
+            let least = self.classes.iter();
+            let least = least.min_by_key(|(_, c)| (!c.fresh.is_empty(), c.used));
+            if let Some(id) = least.map(|(id, _)| *id) {
+                self.classes.remove(&id);
+            }
+        }
+        self.clock += 1;
+        self.biases = None;
+        let known = self.classes.entry(id).or_default();
+        known.used = self.clock;
+        if known.team.is_empty() {
+            known.team = team.to_string();
+            known.name = class.to_string();
+        }
+        known
+    }
+
+    /// Counts a run that was heard here; it is to be recorded.
+    pub fn ran(&mut self, run: &Run) {
+        let class = self.class(&run.team, &run.class);
+        let batch = Batch::of(run);
+        match class.fresh(batch.job.tag) {
+            Some(known) => known.add(&batch),
+            None => {
+                // Unrecorded for long: what is oldest would fall out of the record anyway.
+                if class.fresh.len() >= JOBS_KEPT {
+                    class.fresh.remove(0);
+                }
+                class.fresh.push(batch);
+            }
+        }
+        class.join();
+    }
+
+    /// Takes up what is on record.
+    pub fn recorded(&mut self, team: &str, class: &str, history: History) {
+        let known = self.class(team, class);
+        known.history = history;
+        known.join();
+    }
+
+    /// What was on record is no more.
+    pub fn removed(&mut self, id: ClassId) {
+        self.biases = None;
+        if let Some(class) = self.classes.get_mut(&id) {
+            class.history = History::default();
+            class.join();
+            if class.fresh.is_empty() {
+                self.classes.remove(&id);
+            }
+        }
+    }
+
+    /// Classes with something to record: those with most first.
+    pub fn unrecorded(&self) -> Vec<ClassId> {
+        let mut due: Vec<(usize, ClassId)> = (self.classes.iter())
+            .filter(|(_, c)| !c.fresh.is_empty())
+            .map(|(id, c)| (c.fresh.len(), *id))
+            .collect();
+        due.sort_by(|a, b| b.cmp(a));
+        due.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// What a class's record becomes with what is to be recorded, and that.
+    pub fn to_record(&self, id: ClassId) -> Option<(&str, &str, History, Vec<Batch>)> {
+        let class = self.classes.get(&id)?;
+        let fresh = class.fresh.clone();
+        Some((&class.team, &class.name, class.whole.clone(), fresh))
+    }
+
+    /// These have been recorded, or may have been: they are not recorded again. Runs that came
+    /// meanwhile stay.
+    pub fn sent(&mut self, id: ClassId, batches: &[Batch]) {
+        if let Some(class) = self.classes.get_mut(&id) {
+            let sent = |b: &Batch| batches.iter().any(|s| s.job.tag == b.job.tag);
+            class.fresh.retain(|b| !sent(b));
+        }
+    }
+
+    /// These were certainly not recorded.
+    pub fn unsent(&mut self, id: ClassId, batches: &[Batch]) {
+        if let Some(class) = self.classes.get_mut(&id) {
+            let later = std::mem::take(&mut class.fresh);
+            class.fresh = batches.to_vec();
+            for batch in later {
+                match class.fresh(batch.job.tag) {
+                    Some(known) => known.add(&batch),
+                    None => class.fresh.push(batch),
+                }
+            }
+            let over = class.fresh.len().saturating_sub(JOBS_KEPT);
+            class.fresh.drain(..over);
+            class.join();
+            self.biases = None;
+        }
+    }
+
+    /// Team, class and history of all, recorded or not.
+    pub fn classes(&self) -> impl Iterator<Item = (&str, &str, &History)> {
+        (self.classes.values()).map(|c| (c.team.as_str(), c.name.as_str(), &c.whole))
+    }
+
+    fn biases(&mut self) -> &(HashMap<String, Bias>, Bias) {
+        let classes = &self.classes;
+        self.biases.get_or_insert_with(|| {
+            let mut teams: HashMap<String, Vec<f64>> = HashMap::new();
+            for class in classes.values() {
+                let latest = class.whole.excess().rev().take(PARENT_LATEST);
+                teams.entry(class.team.clone()).or_default().extend(latest);
+            }
+            let all = bias(teams.values().flatten().copied());
+            let teams = teams.into_iter();
+            let teams = teams.map(|(team, e)| (team, bias(e.into_iter())));
+            (teams.collect(), all)
+        })
+    }
+
+    /// What stands in for a class without a history.
+    fn prior(&mut self, about: &About) -> Mixture {
+        let Some(expect) = ln_expect(about.expect_s) else {
+            return self.levels(about.team);
+        };
+        let (teams, all) = self.biases();
+        let of_all = all.towards((0.0, OWNER_SD * OWNER_SD));
+        let team = teams.get(about.team).copied().unwrap_or_default();
+        let (mean, var) = team.towards(of_all);
+        Mixture::normal(expect + mean, var.max(LEAST_SD * LEAST_SD))
+    }
+
+    /// Without an estimate: what its team's work takes, widely.
+    fn levels(&self, team: &str) -> Mixture {
+        let of_team = self.classes.values().filter(|c| c.team == team);
+        let parts = of_team.flat_map(|c| {
+            let done = c.whole.jobs().iter().rev().filter(|j| j.runs > 0);
+            done.take(PARENT_LATEST).map(|j| Part {
+                weight: 1.0,
+                mean: j.mean,
+                var: 0.25,
+            })
+        });
+        let unknown = Part {
+            weight: PARENT_JOBS,
+            mean: UNKNOWN_S.ln(),
+            var: UNKNOWN_SD * UNKNOWN_SD,
+        };
+        Mixture::new(parts.chain([unknown]).collect())
+    }
+
+    /// The distribution of the run time of a task of this job.
+    pub fn distribution(&mut self, about: &About) -> Mixture {
+        let prior = self.prior(about);
+        let id = class_id(about.team, about.class);
+        let none = History::default();
+        let history = self.classes.get(&id).map_or(&none, |c| &c.whole);
+        let expect = ln_expect(about.expect_s);
+        let (job, within) = history.mixture(expect, image_tag(about.image), &prior);
+        let known = history.job(job_tag(about.job)).filter(|j| j.runs > 0);
+        let job = match known {
+            Some(own) => job.given(own.mean, f64::from(own.runs), within),
+            None => job,
+        };
+        job.wider(within)
+    }
+}
--- /dev/null
+++ b/crates/runtimes/src/lib.rs
@@ -0,0 +1,64 @@
+//! Run times, learned from past runs. Pure: runs go in, distributions come out; nothing here reads
+//! a clock or a file. All times are seconds, or their natural logarithms where a name says `ln`.
+//!
+//! A [`history::History`] holds a class's latest jobs, [`book::Book`] all classes with what stands
+//! in for them while they are new, [`mixture::Mixture`] is what an estimate is. The design note is
+//! `docs/run-times.md`.
+
+pub mod book;
+pub mod constants;
+pub mod history;
+pub mod machines;
+pub mod mixture;
+
+use serde::{Deserialize, Serialize};
+
+/// How a task's run ended, as far as it tells how long the task takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// It completed.
+    Done,
+    /// It was stopped, lost, or its beginning was not heard: it takes at least that long.
+    AtLeast,
+}
+
+/// One run of one task, without the fetch of its image.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    pub team: String,
+    pub class: String,
+    pub image: String,
+    pub job: String,
+    /// The owner's estimate in seconds; 0 if there is none.
+    pub expect_s: f64,
+    pub secs: f64,
+    pub end: End,
+}
+
+impl Run {
+    pub fn ln_secs(&self) -> f64 {
+        ln(self.secs)
+    }
+}
+
+/// The logarithm of a time, kept within what run times can be.
+pub fn ln(secs: f64) -> f64 {
+    let secs = if secs.is_finite() { secs } else { 0.0 };
+    secs.clamp(constants::LEAST_S, constants::MOST_S).ln()
+}
+
+/// That of the owner's estimate, if there is one.
+pub fn ln_expect(expect_s: f64) -> Option<f64> {
+    (expect_s.is_finite() && expect_s > 0.0).then(|| ln(expect_s))
+}
+
+/// A hash that is the same on every node and version: names records, images and jobs.
+pub fn hash(parts: &[&str]) -> u64 {
+    let mut bytes = Vec::new();
+    for part in parts {
+        // The length goes first, so that no two lists of parts run together.
+        bytes.extend_from_slice(&(part.len() as u64).to_le_bytes());
+        bytes.extend_from_slice(part.as_bytes());
+    }
+    twox_hash::XxHash3_64::oneshot(&bytes)
+}
--- /dev/null
+++ b/crates/runtimes/src/machines.rs
@@ -0,0 +1,77 @@
+//! Machines that are slow: their runs say nothing of the work.
+
+use crate::constants::*;
+use std::collections::HashMap;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Speed {
+    runs: f64,
+    /// Mean logarithm by which runs exceeded their estimates.
+    excess: f64,
+}
+
+/// How runs on each machine compare with their estimates.
+#[derive(Debug, Default)]
+pub struct Machines {
+    known: HashMap<String, Speed>,
+    /// The same over all: when everything takes longer it is not the machines.
+    all: Speed,
+}
+
+fn note(speed: &mut Speed, excess: f64, share: f64) {
+    speed.runs += 1.0;
+    let share = share.max(1.0 / speed.runs);
+    speed.excess += (excess - speed.excess) * share;
+}
+
+impl Machines {
+    /// A run took so much longer than its estimate, in logarithms. Says whether it counts: not on a
+    /// machine that is slow.
+    pub fn ran(&mut self, machine: &str, excess: f64) -> bool {
+        let excess = excess.clamp(-3.0, 3.0);
+        let slow = self.slow(machine);
+        if self.known.len() < MACHINES_KEPT || self.known.contains_key(machine) {
+            let speed = self.known.entry(machine.to_string()).or_default();
+            note(speed, excess, SPEED_NEW);
+        }
+        if !slow {
+            note(&mut self.all, excess, SPEED_NEW / 10.0);
+        }
+        !self.slow(machine)
+    }
+    pub fn slow(&self, machine: &str) -> bool {
+        let known = self.known.get(machine).filter(|s| s.runs >= SLOW_RUNS);
+        known.is_some_and(|s| s.excess - self.all.excess > SLOW_LN)
+    }
+    pub fn retain(&mut self, mut known: impl FnMut(&str) -> bool) {
+        self.known.retain(|id, _| known(id));
+    }
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_slow_machine_is_told_from_work_that_takes_longer_everywhere() {
+        let mut machines = Machines::default();
+        for i in 0..40 {
+            assert!(machines.ran(&format!("m{}", i % 10), 0.05));
+        }
+        for _ in 0..3 {
+            machines.ran("sick", 1.5);
+        }
+        assert!(!machines.ran("sick", 1.5) && machines.slow("sick"));
+        let mut doubled = Machines::default();
+        for i in 0..200 {
+            doubled.ran(&format!("m{}", i % 10), 0.7);
+        }
+        assert!((0..10).all(|i| !doubled.slow(&format!("m{i}"))));
+    }
+}
--- /dev/null
+++ b/crates/runtimes/src/mixture.rs
@@ -0,0 +1,182 @@
+//! A distribution of run times: normal ones of their logarithms, each with its weight.
+
+use crate::constants::*;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    pub weight: f64,
+    pub mean: f64,
+    pub var: f64,
+}
+
+/// In logarithms of seconds. Never empty, its weights sum to one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Mixture {
+    parts: Vec<Part>,
+}
+
+/// What an estimate says: seconds, and how sure it is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    pub median_s: f64,
+    /// 90 of 100 runs should lie between these.
+    pub low_s: f64,
+    pub high_s: f64,
+}
+
+fn below(z: f64) -> f64 {
+    0.5 * libm::erfc(-z / std::f64::consts::SQRT_2)
+}
+
+impl Mixture {
+    /// Parts that are no numbers, or weigh nothing, are left out.
+    pub fn new(parts: Vec<Part>) -> Mixture {
+        let sound = |p: &Part| {
+            p.weight.is_finite()
+                && p.weight > 0.0
+                && p.mean.is_finite()
+                && p.var.is_finite()
+                && p.var >= 0.0
+        };
+        let mut parts: Vec<Part> = parts.into_iter().filter(sound).collect();
+        let sum: f64 = parts.iter().map(|p| p.weight).sum();
+        if parts.is_empty() || !sum.is_finite() || sum <= 0.0 {
+            parts = vec![Part {
+                weight: 1.0,
+                mean: UNKNOWN_S.ln(),
+                var: UNKNOWN_SD * UNKNOWN_SD,
+            }];
+        } else {
+            parts.iter_mut().for_each(|p| p.weight /= sum);
+        }
+        Mixture { parts }
+    }
+
+    pub fn normal(mean: f64, var: f64) -> Mixture {
+        Mixture::new(vec![Part {
+            weight: 1.0,
+            mean,
+            var,
+        }])
+    }
+
+    pub fn parts(&self) -> &[Part] {
+        &self.parts
+    }
+
+    /// The share of runs that take no longer.
+    pub fn share_within(&self, ln_secs: f64) -> f64 {
+        let share = |p: &Part| p.weight * below((ln_secs - p.mean) / p.var.sqrt().max(1e-6));
+        self.parts.iter().map(share).sum::<f64>().clamp(0.0, 1.0)
+    }
+
+    /// The logarithm of the time within which this share of runs is over.
+    pub fn quantile(&self, share: f64) -> f64 {
+        let reach = |p: &Part| 9.0 * p.var.sqrt() + 0.01;
+        let lows = self.parts.iter().map(|p| p.mean - reach(p));
+        let highs = self.parts.iter().map(|p| p.mean + reach(p));
+        let mut low = lows.fold(f64::INFINITY, f64::min);
+        let mut high = highs.fold(f64::NEG_INFINITY, f64::max);
+        // To a thousandth of a logarithm, which is a thousandth of the time.
+        while high - low > 1e-3 {
+            let middle = (low + high) / 2.0;
+            match self.share_within(middle) < share {
+                true => low = middle,
+                false => high = middle,
+            }
+        }
+        (low + high) / 2.0
+    }
+
+    /// What is left of it once a job's own tasks are known: so many with this mean logarithm, that
+    /// differ from one another by this variance. Says of which kind of work the job is, too.
+    pub fn given(&self, mean: f64, tasks: f64, within: f64) -> Mixture {
+        let noise = within / tasks.max(1.0);
+        let odds: Vec<f64> = (self.parts.iter())
+            .map(|p| {
+                let var = p.var + noise;
+                p.weight.ln() - 0.5 * (var.ln() + (mean - p.mean).powi(2) / var)
+            })
+            .collect();
+        let most = odds.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let parts = self.parts.iter().zip(&odds).map(|(p, odds)| Part {
+            weight: (odds - most).exp(),
+            mean: (p.mean * noise + mean * p.var) / (p.var + noise).max(1e-12),
+            var: p.var * noise / (p.var + noise).max(1e-12),
+        });
+        Mixture::new(parts.collect())
+    }
+
+    /// With independent deviations added.
+    pub fn wider(&self, var: f64) -> Mixture {
+        let parts = self.parts.iter().map(|p| Part {
+            var: p.var + var,
+            ..*p
+        });
+        Mixture::new(parts.collect())
+    }
+
+    /// Seconds that a run still takes with this chance, having lasted so long.
+    pub fn left_s(&self, elapsed_s: f64, share: f64) -> f64 {
+        let known = self.share_within(crate::ln(elapsed_s));
+        if known > 0.999 {
+            // It outlasts all that is known: the longer it has run, the longer it may go on.
+            return elapsed_s * (BEYOND - 1.0) * 2.0 * share;
+        }
+        let at = self.quantile(known + (1.0 - known) * share);
+        (at.exp() - elapsed_s).max(0.0)
+    }
+
+    pub fn estimate(&self) -> Estimate {
+        Estimate {
+            median_s: self.quantile(0.5).exp(),
+            low_s: self.quantile(LOW).exp(),
+            high_s: self.quantile(HIGH).exp(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn quantiles_are_those_of_the_normal_distribution() {
+        let m = Mixture::normal(4.0, 0.25);
+        assert!((m.quantile(0.5) - 4.0).abs() < 2e-3);
+        assert!((m.quantile(0.95) - (4.0 + 1.6449 * 0.5)).abs() < 2e-3);
+        assert!((m.share_within(4.5) - 0.8413).abs() < 1e-3);
+    }
+
+    #[test]
+    fn one_task_tells_which_of_two_kinds_a_job_is() {
+        let part = |mean| Part {
+            weight: 0.5,
+            mean,
+            var: 0.02,
+        };
+        let two = Mixture::new(vec![part(2.0), part(6.0)]);
+        let known = two.given(5.9, 1.0, 0.04).wider(0.04);
+        assert!(known.share_within(4.0) < 0.01);
+        assert!((known.quantile(0.5) - 5.95).abs() < 0.1);
+    }
+
+    #[test]
+    fn what_has_lasted_long_is_not_about_to_end_at_once() {
+        let m = Mixture::normal(100f64.ln(), 0.04);
+        assert!((m.left_s(0.0, 0.5) - 100.0).abs() < 1.0);
+        assert!(m.left_s(90.0, 0.5) > 10.0);
+        assert!(m.left_s(1_000.0, 0.5) > 100.0);
+    }
+
+    #[test]
+    fn what_is_no_number_leaves_the_least_that_can_be_said() {
+        let part = Part {
+            weight: f64::NAN,
+            mean: 1.0,
+            var: 1.0,
+        };
+        let m = Mixture::new(vec![part]);
+        assert!((m.quantile(0.5).exp() - UNKNOWN_S).abs() < 1.0);
+    }
+}
--- /dev/null
+++ b/crates/runtimes/tests/records.rs
@@ -0,0 +1,126 @@
+//! Records are read back as written, and what is broken is refused without harm.
+
+use glenmount_runtimes::book::{About, Book};
+use glenmount_runtimes::history::{Batch, History, Packed};
+use glenmount_runtimes::{End, Run};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn runs() -> impl Strategy<Value = Vec<Run>> {
+    let run = (0..40u8, 0..3u8, -1.0..5e6f64, -1.0..5e6f64, any::<bool>());
+    let run = run.prop_map(|(job, image, expect_s, secs, done)| Run {
+        team: "t".into(),
+        class: "c".into(),
+        image: format!("i{image}"),
+        job: format!("j-{job}"),
+        expect_s,
+        secs,
+        end: if done { End::Done } else { End::AtLeast },
+    });
+    prop::collection::vec(run, 0..200)
+}
+
+fn history(runs: &[Run]) -> History {
+    let mut history = History::default();
+    runs.iter().for_each(|r| history.take(&Batch::of(r)));
+    history
+}
+
+fn sound(book: &mut Book, run: &Run) {
+    let d = book.distribution(&About::from(run));
+    let e = d.estimate();
+    assert!(e.low_s > 0.0 && e.low_s <= e.median_s && e.median_s <= e.high_s);
+    assert!(e.high_s.is_finite());
+    for elapsed in [0.0, 1.0, 1e3, 1e9] {
+        let (soon, late) = (d.left_s(elapsed, 0.1), d.left_s(elapsed, 0.9));
+        assert!(soon >= 0.0 && soon <= late + 0.01 * late && late.is_finite());
+    }
+}
+
+proptest! {
+    // The same cases every time.
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn records_are_read_as_written(runs in runs()) {
+        let history = history(&runs);
+        let packed = history.pack();
+        let text = serde_json::to_string(&packed).unwrap();
+        prop_assert!(text.len() < 460, "{}", text.len());
+        let read = History::unpack(&serde_json::from_str::<Packed>(&text).unwrap()).unwrap();
+        prop_assert_eq!(read.runs, history.runs);
+        prop_assert_eq!(read.jobs().len(), history.jobs().len());
+        for (a, b) in read.jobs().iter().zip(history.jobs()) {
+            prop_assert_eq!((a.tag, a.image, a.runs), (b.tag, b.image, b.runs));
+            prop_assert!((a.mean - b.mean).abs() < 1e-3);
+        }
+        // What was read once more is the very same: no drift over restarts.
+        prop_assert_eq!(read.pack(), packed);
+    }
+
+    /// However absurd the runs, estimates are finite and in order.
+    #[test]
+    fn estimates_stay_sound(runs in runs(), asked in runs()) {
+        let mut book = Book::default();
+        runs.iter().for_each(|r| book.ran(r));
+        asked.iter().take(5).for_each(|r| sound(&mut book, r));
+    }
+
+    /// A record with any byte changed is refused.
+    #[test]
+    fn damage_is_found(runs in runs(), at in any::<prop::sample::Index>(), bit in 0..7u8) {
+        let text = serde_json::to_string(&history(&runs).pack()).unwrap();
+        let mut bytes = text.clone().into_bytes();
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1 << bit;
+        if let Ok(packed) = serde_json::from_slice::<Packed>(&bytes) {
+            let same = serde_json::from_str::<Packed>(&text).unwrap() == packed;
+            prop_assert!(same || History::unpack(&packed).is_none());
+        }
+    }
+
+    /// Nobody's bytes do harm: refused, or sound.
+    #[test]
+    fn anything_is_refused_or_sound(jobs in "[A-Za-z0-9+/]{0,400}", numbers in any::<[u32; 4]>()) {
+        let text = format!(
+            r#"{{"j":"{jobs}","w":{},"k":{},"n":{},"s":{}}}"#,
+            numbers[0], numbers[1], numbers[2], numbers[3]
+        );
+        if let Ok(packed) = serde_json::from_str::<Packed>(&text) {
+            prop_assert!(History::unpack(&packed).is_none());
+        }
+    }
+
+    /// Nothing depends on how runs were split over nodes and records, but rounding.
+    #[test]
+    fn counting_in_parts_is_counting_at_once(runs in runs(), cut in any::<prop::sample::Index>()) {
+        let done: Vec<Run> = (runs.into_iter())
+            .filter(|r| r.end == End::Done)
+            .map(|r| Run { job: "j-1".into(), ..r })
+            .take(200)
+            .collect();
+        prop_assume!(done.len() > 1);
+        let cut = cut.index(done.len());
+        let sum = |runs: &[Run]| {
+            let mut all = Batch::of(&runs[0]);
+            runs[1..].iter().for_each(|r| all.add(&Batch::of(r)));
+            all
+        };
+        let mut parts = History::default();
+        for part in [&done[..cut], &done[cut..]] {
+            if !part.is_empty() {
+                parts.take(&sum(part));
+            }
+        }
+        let mut whole = History::default();
+        whole.take(&sum(&done));
+        prop_assert!((parts.jobs()[0].mean - whole.jobs()[0].mean).abs() < 1e-6);
+        // To the thousandth that is stored.
+        prop_assert_eq!(parts.pack(), whole.pack());
+    }
+}
