Run times are learned: observed, recorded in the state service, switched off

A node that hears a task begin and end observes its run; the one whose transaction records the end counts it, so that none counts twice. Counts go to g/runs/CLASS, one record per class, conditional on what they add to, on one in a hundred of the node's share of changes and not while these are short. What may have taken effect unheard is given up. Runs cut short, resumed from saved progress, on slow or faulty machines are told apart. production passes over such keys.

Uses, each with a switch of its own: due (goals and deadlines out of reach, pipelines), stops (not those about to end), rent (room that comes free before a boot), notice (what ends before its machine is taken). All off without deploy/learned-run-times.xml; a node without it stores and observes nothing.

Stories (tests/learned.rs): three nodes that hear the same ends, lost and late transactions, a node that dies in between, refusals for minutes, budget, small values, eviction, damage, saved progress, slow machines, a roll beside the old version, records that vanish.

--- a/crates/core/src/cancels.rs
+++ b/crates/core/src/cancels.rs
@@ -175,7 +175,7 @@
         }
         let lease_ms = self.settings.lease_ms;
         let round = (self.settings.nodes.len() as u64 - 1) * WORKER_MOVE_MS
-            + self.settings.report_ms * 5 / 4
+            + self.settings.report_due_ms()
             + SILENCE_SPARE_MS;
         if round >= lease_ms {
             return true;
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -319,6 +319,31 @@
 pub const FEASIBLE_SHARE: f64 = 0.6;
 /// Milliseconds after acceptance at which a job is due that has no goal in reach.
 pub const NO_GOAL_MS: u64 = 900_000;
+/// Share of this node's changes that what is learned of run times may take.
+pub const LEARN_SHARE: f64 = 0.01;
+/// Attempts whose beginnings, ends or progress are remembered for that, each some 150 bytes.
+pub const ATTEMPTS_FOLLOWED: usize = 40_000;
+/// Milliseconds after which an estimate is worked out anew: some 40 microseconds each, ...
+pub const ESTIMATE_MS: u64 = 8_000;
+/// ... so many in one lookup, ...
+pub const ESTIMATES_AT_ONCE: usize = 24;
+/// ... of so many jobs, some 1 KiB each.
+pub const ESTIMATES_KEPT: usize = 4_000;
+/// The quantile of a job's run time that must still fit for a goal to be in reach: owners' estimates
+/// are above the run time by `FEASIBLE_SHARE` as often.
+pub const FEASIBLE_CHANCE: f64 = 0.15;
+/// A run's end is counted on when it is so likely.
+pub const LIKELY_CHANCE: f64 = 0.7;
+/// A task is not stopped for others when it more likely ends by itself.
+pub const SPARED_CHANCE: f64 = 0.5;
+/// Milliseconds that a start and a usual fetch take.
+pub const START_TAKES_MS: u64 = 2_500;
+/// Milliseconds within which a task that ends is not stopped for others: a stop, its proof and the
+/// next start take as long.
+pub const SPARED_MS: u64 = 3_000;
+/// Milliseconds of a notice not counted on: the machine may be taken a little early, and the result
+/// must be heard.
+pub const NOTICE_SPARE_MS: u64 = 2_500;
 /// Jobs looked at per lookup, best first: bounds the work of one pass.
 pub const LOOKUP_JOBS: usize = 400;
 /// Chunks looked at per job and lookup.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod constants;
 pub mod formats;
 pub mod jobs;
+mod learned;
 pub mod lookup;
 pub mod machines;
 pub mod model;
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -62,10 +62,10 @@
     spec: &JobSpec,
     ready_at: WallMs,
     pull: Option<&Pull>,
+    run_ms: u64,
     settings: &Settings,
     wall: WallMs,
 ) -> WallMs {
-    let run_ms = pipelines::least_run_ms(spec);
     let own = pipelines::deadline(job, spec).into_iter();
     let deadline = own.chain(pull.and_then(|p| p.due)).min();
     let goals = settings.goals.get(&spec.class).into_iter().flatten();
@@ -86,6 +86,7 @@
     cache: &Cache,
     settings: &Settings,
     pulls: &HashMap<String, Pull>,
+    least_run_ms: &dyn Fn(&str, &JobSpec) -> u64,
     wall: WallMs,
 ) -> Vec<Waiting> {
     let mut found: Vec<Waiting> = Vec::new();
@@ -148,7 +149,15 @@
             urgency: Urgency {
                 rank: std::cmp::Reverse(pipelines::rank(pulls, id, spec)),
                 borrowed: false,
-                due: due(job, spec, ready_at, pull, settings, wall),
+                due: due(
+                    job,
+                    spec,
+                    ready_at,
+                    pull,
+                    least_run_ms(id, spec),
+                    settings,
+                    wall,
+                ),
             },
             own_rank: spec.rank,
             indices: indices.into(),
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -161,6 +161,7 @@
             .collect();
         let mut ended: Vec<((TaskId, u64), Outcome, Option<Travel>)> = Vec::new();
         let mut saves: Vec<(TaskId, u64)> = Vec::new();
+        let mut running: Vec<(TaskId, u64)> = Vec::new();
         let mut above = None;
         let mut arm = false;
         for (task, placed) in self.cache.bookings(id) {
@@ -177,6 +178,7 @@
             };
             if phase == Some(TaskPhase::Running) {
                 self.stats.runs(task, b.attempt, self.now);
+                running.push((task.clone(), b.attempt));
             }
             let key = (task.clone(), b.attempt);
             if b.direct.is_some() {
@@ -209,10 +211,19 @@
                 above = above.max(b.direct.map(|(_, token)| token));
             }
         }
+        for (task, attempt) in running {
+            self.seen_running(&task, attempt, report);
+        }
         for ((task, attempt), outcome, rests_on) in ended {
             self.note_ended(task, attempt, outcome, rests_on);
         }
+        if let Some(notice_s) = report.notice_s.filter(|_| self.settings.learned.notice) {
+            // What ends before the machine is taken needs no stop, nor a start elsewhere.
+            let ms = ((notice_s * 1e3) as Millis).saturating_sub(NOTICE_SPARE_MS);
+            saves.retain(|(task, attempt)| !self.about_to_end(task, *attempt, ms, LIKELY_CHANCE));
+        }
         self.saves.extend(saves);
+        self.noted_report(report);
         let seen = Seen {
             address: report.address.clone(),
             type_name: report.type_name.clone(),
@@ -247,6 +258,7 @@
         outcome: Outcome,
         rests_on: Option<Travel>,
     ) {
+        self.run_ended(&task, attempt, outcome);
         let key = (task, attempt);
         self.stats.results += u64::from(!self.results.contains_key(&key));
         let at = self.now;
@@ -754,7 +766,7 @@
 
     /// Milliseconds between a worker's last check-in at one node and its first at another.
     pub(crate) fn move_time(&self) -> Millis {
-        WORKER_MOVE_MS + self.settings.report_ms * 5 / 4
+        WORKER_MOVE_MS + self.settings.report_due_ms()
     }
 
     /// Whether its latest check-in, as far as is known, came to this node.
@@ -771,7 +783,7 @@
     /// that still hold a cancelled task when its time runs out.
     pub(crate) fn judge_machines(&mut self) {
         self.judge_zones();
-        let overdue_ms = self.settings.report_ms * 5 / 4 + PROBE_AFTER_MS;
+        let overdue_ms = self.settings.report_due_ms() + PROBE_AFTER_MS;
         let mut asked_quiet: BTreeMap<String, usize> = BTreeMap::new();
         let mut overdue: BTreeMap<String, bool> = self.unheard_by_all().into_iter().collect();
         for id in self.overdue_here(overdue_ms) {
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -162,9 +162,29 @@
     pub idle_return_ms: u64,
     /// How far the cloud's list may lag; at times it is twice that.
     pub list_lag_ms: u64,
+    pub learned: LearnedUse,
+}
+
+/// Whether run times are learned, and what estimates are used for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LearnedUse {
+    /// Runs are observed and recorded.
+    pub learn: bool,
+    /// When jobs are due, and which goals and deadlines are out of reach.
+    pub due: bool,
+    /// Which tasks are stopped for others: not those about to end.
+    pub stops: bool,
+    /// Renting: not for what will have room before a machine is up.
+    pub rent: bool,
+    /// Whether a task ends before its spot machine is taken.
+    pub notice: bool,
 }
 
 impl Settings {
+    /// Milliseconds after which a machine's next report is overdue.
+    pub fn report_due_ms(&self) -> Millis {
+        self.report_ms * 5 / 4
+    }
     pub fn node_index(&self) -> u64 {
         self.nodes.iter().position(|n| *n == self.node).unwrap_or(0) as u64
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -4,12 +4,15 @@
 use crate::constants::*;
 use crate::formats::{self, FormatRecord};
 use crate::jobs::Ask;
+use crate::learned::Learned;
 use crate::machines::{Held, Seen};
 use crate::model::*;
 use crate::records::*;
 use crate::results::Ended;
 use crate::silence::ZoneSigns;
 use crate::stats::Stats;
+use glenmount_runtimes::book::ClassId;
+use glenmount_runtimes::history::Batch;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
@@ -240,7 +243,11 @@
     Flush {
         armed: Vec<String>,
         returning: bool,
+        /// Attempts whose end it records.
+        released: Vec<(TaskId, u64)>,
     },
+    /// Records runs of a class.
+    Learn(ClassId, Vec<Batch>),
     Lookup(Vec<(TaskId, String)>),
     NewHires(Vec<u64>),
     Hire(u64),
@@ -369,6 +376,7 @@
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) condemned: BTreeMap<String, &'static str>,
     pub(crate) stats: Stats,
+    pub(crate) learned: Learned,
     pub(crate) flushed_at: Millis,
     pub(crate) judged_at: Millis,
     pub(crate) writes: Allowance,
@@ -505,6 +513,7 @@
             seen: BTreeMap::new(),
             condemned: BTreeMap::new(),
             stats: Stats::new(now),
+            learned: Learned::default(),
             flushed_at: 0,
             judged_at: 0,
             writes,
@@ -839,7 +848,7 @@
     /// After a start, or after standing still, one round of reports comes in before anything is
     /// placed or judged.
     pub(crate) fn settled(&self) -> bool {
-        self.now - self.woke >= self.settings.report_ms * 5 / 4
+        self.now - self.woke >= self.settings.report_due_ms()
     }
 
     // ---- Time ----------------------------------------------------------------------
@@ -920,6 +929,7 @@
                 self.stats.report(self.now, records, held);
             }
             self.forget_old();
+            self.forget_runs();
         }
         if self.now >= self.judged_at + JUDGE_MS {
             self.judged_at = self.now;
@@ -930,6 +940,7 @@
                 self.sweep();
             }
         }
+        self.record_runs();
         self.retry_hires();
         self.tidy_hires();
         if self.on_duty() {
--- a/crates/core/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -88,7 +88,7 @@
 /// For every open job that others need, what these make of it. Rank and deadline stand on the
 /// last job of a pipeline; passed upstream, a deadline is earlier by the run time of each job
 /// between, of which a share must do, since estimates are often too high.
-pub fn pulls(cache: &Cache) -> HashMap<String, Pull> {
+pub fn pulls(cache: &Cache, least_run_ms: &dyn Fn(&str, &JobSpec) -> u64) -> HashMap<String, Pull> {
     let dependents = &cache.dependents().by_awaited;
     // Open jobs downstream that are still to be looked at, per job; those without go first.
     let mut left: HashMap<&str, usize> = HashMap::new();
@@ -110,7 +110,7 @@
         let own = pulls.get(id);
         let rank = own.map_or(spec.rank, |p| p.rank.max(spec.rank));
         let due = earliest(deadline(job, spec), own.and_then(|p| p.due));
-        let due = due.map(|due| due.saturating_sub(least_run_ms(spec)));
+        let due = due.map(|due| due.saturating_sub(least_run_ms(id, spec)));
         for awaited in &spec.awaits {
             if let Some(n) = left.get_mut(awaited.as_str()) {
                 *n = n.saturating_sub(1);
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -35,8 +35,10 @@
         self.lookup_wanted = false;
         let jitter = self.rng.gen_range(0..POLL_MS / 4);
         self.lookup_at = self.now + POLL_MS + jitter;
-        let pulls = pipelines::pulls(&self.cache);
-        let mut work = lookup::waiting(&self.cache, &self.settings, &pulls, self.wall);
+        self.look_at_run_times();
+        let least = |job: &str, spec: &JobSpec| self.least_run_ms(job, spec);
+        let pulls = pipelines::pulls(&self.cache, &least);
+        let mut work = lookup::waiting(&self.cache, &self.settings, &pulls, &least, self.wall);
         self.waiting_work = !work.is_empty();
         if work.is_empty() {
             return;
@@ -135,7 +137,7 @@
     }
 
     /// Whether a machine may be counted on for what waits.
-    fn usable(&self, id: &str) -> bool {
+    pub(crate) fn usable(&self, id: &str) -> bool {
         let zone = self.cache.machine(id).map(|m| &m.zone);
         zone.is_some_and(|z| self.reachable(id, z)) && !self.condemned.contains_key(id)
     }
@@ -180,7 +182,11 @@
         let usable = |id: &str| self.usable(id);
         let rank = |job: &str, spec: &JobSpec| pipelines::rank(pulls, job, spec);
         let site = self.site();
-        let stops = preempt::victims(site, &ripe, usable, age, rank);
+        let spares = self.settings.learned.stops;
+        let spared = |task: &TaskId, attempt: u64| {
+            spares && self.about_to_end(task, attempt, SPARED_MS, SPARED_CHANCE)
+        };
+        let stops = preempt::victims(site, &ripe, usable, age, rank, spared);
         let mut draft = Draft::new(&self.cache);
         let mut chosen = Vec::new();
         for (id, task) in stops {
@@ -214,10 +220,12 @@
         if work.is_empty() || self.hire_busy || !self.hires_asked.is_empty() {
             return;
         }
+        let free = self.coming_free();
         let wishes = capacity::wishes(
             &self.cache,
             &self.types,
             work,
+            &free,
             |id| self.on_its_way(id),
             |zone| self.zone_quiet(zone),
             self.wall,
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -115,13 +115,14 @@
 
 /// Tasks to stop, with their machines, so that waiting work gets started.
 /// `age` tells how long an attempt has been booked, `rank` what a job counts as for the sake of
-/// those that need it.
+/// those that need it, `spared` whether an attempt is about to end by itself.
 pub fn victims(
     site: Site,
     work: &[Waiting],
     usable: impl Fn(&str) -> bool,
     age: impl Fn(u64) -> Millis,
     rank: impl Fn(&str, &JobSpec) -> Rank,
+    spared: impl Fn(&TaskId, u64) -> bool,
 ) -> Vec<(String, TaskId)> {
     let Site {
         cache,
@@ -147,6 +148,9 @@
                 *borrowed.entry(&spec.team).or_default() += p.need.cpus;
                 let rank = rank(&task.job, spec);
                 lowest = lowest.min(rank);
+                if spared(task, p.booking.attempt) {
+                    continue;
+                }
                 victims.push(Victim {
                     task: task.clone(),
                     team: &spec.team,
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -27,6 +27,9 @@
     /// Once on record, cancellations are told when all tasks are gone; see `cancels`. Versions
     /// before format 3 pass over it.
     Settled,
+    /// What is learned of a class's run times, by a hash of team and class. Versions before it came
+    /// pass over keys of this kind, and nothing rests on them.
+    Runs(u64),
 }
 
 pub(crate) fn escape(s: &str) -> String {
@@ -70,6 +73,7 @@
             Key::Hire(n) => format!("g/hire/{n:08}"),
             Key::Format(node) => format!("g/format/{}", escape(node)),
             Key::Settled => "g/settled".into(),
+            Key::Runs(class) => format!("g/runs/{class:016x}"),
         }
     }
 
@@ -88,6 +92,9 @@
             ("hire", Some(n), None) => Key::Hire(n.parse().ok()?),
             ("format", Some(node), None) => Key::Format(unescape(node)?),
             ("settled", None, None) => Key::Settled,
+            ("runs", Some(class), None) if class.len() == 16 => {
+                Key::Runs(u64::from_str_radix(class, 16).ok()?)
+            }
             _ => return None,
         };
         Some(key)
@@ -368,6 +375,18 @@
     pub version: u32,
 }
 
+/// What is learned of a class's run times.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunsRecord {
+    /// As far as it fits; the key tells classes apart.
+    pub team: String,
+    pub class: String,
+    /// Time of day of the latest change, by which the least used go first.
+    pub at: WallMs,
+    #[serde(flatten)]
+    pub packed: glenmount_runtimes::history::Packed,
+}
+
 /// The cloud's machine types as last read: a node that starts while the cloud is down knows
 /// what jobs can run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -388,6 +407,7 @@
     Hire(HireRecord),
     Format(FormatRecord),
     Settled(SettledRecord),
+    Runs(RunsRecord),
 }
 
 impl Record {
@@ -406,6 +426,7 @@
             Record::Hire(r) => serde_json::to_value(r),
             Record::Format(r) => serde_json::to_value(r),
             Record::Settled(r) => serde_json::to_value(r),
+            Record::Runs(r) => serde_json::to_value(r),
         };
         value.unwrap_or(Value::Null)
     }
@@ -429,6 +450,7 @@
             Key::Hire(_) => get(value).map(Record::Hire),
             Key::Format(_) => get(value).map(Record::Format),
             Key::Settled => get(value).map(Record::Settled),
+            Key::Runs(_) => get(value).map(Record::Runs),
         }
     }
 }
@@ -471,6 +493,7 @@
     hires: Table<u64, HireRecord>,
     formats: Table<String, FormatRecord>,
     settled: Table<(), SettledRecord>,
+    runs: Table<u64, RunsRecord>,
     /// Names of all nodes, as the settings have them.
     pub members: Vec<String>,
     /// Records that the state service refused to take as large as they would have become, and the
@@ -509,12 +532,12 @@
 }
 
 macro_rules! accessors {
-    ($one:ident, $all:ident, $record:ty, $key:ty) => {
+    ($one:ident, $all:ident, $table:ident, $record:ty, $key:ty) => {
         pub fn $one(&self, key: &$key) -> Option<&$record> {
-            self.$all.get(key).map(|(r, _)| r)
+            self.$table.get(key).map(|(r, _)| r)
         }
         pub fn $all(&self) -> impl Iterator<Item = (&$key, &$record, u64)> {
-            self.$all.iter().map(|(k, (r, stamp))| {
+            self.$table.iter().map(|(k, (r, stamp))| {
                 let k: &$key = k;
                 (k, r, *stamp)
             })
@@ -558,10 +581,11 @@
         }
     }
 
-    accessors!(job, jobs, JobRecord, str);
-    accessors!(machine, machines, MachineRecord, str);
-    accessors!(place, places, PlaceRecord, str);
-    accessors!(hire, hires, HireRecord, u64);
+    accessors!(job, jobs, jobs, JobRecord, str);
+    accessors!(machine, machines, machines, MachineRecord, str);
+    accessors!(place, places, places, PlaceRecord, str);
+    accessors!(hire, hires, hires, HireRecord, u64);
+    accessors!(class_runs, all_runs, runs, RunsRecord, u64);
 
     /// Whether an open job awaits one that is not done on record. `Done` is final, so what is
     /// found not to be blocked never is again.
@@ -679,6 +703,7 @@
             Key::Hire(n) => of(self.hires.get(n)),
             Key::Format(node) => of(self.formats.get(node)),
             Key::Settled => of(self.settled.get(&())),
+            Key::Runs(class) => of(self.runs.get(class)),
         }
     }
     pub fn get(&self, key: &Key) -> Option<Record> {
@@ -694,6 +719,7 @@
             Key::Hire(n) => Record::Hire(self.hire(n)?.clone()),
             Key::Format(node) => Record::Format(self.formats.get(node)?.0.clone()),
             Key::Settled => Record::Settled(self.settled.get(&())?.0.clone()),
+            Key::Runs(class) => Record::Runs(self.class_runs(class)?.clone()),
         })
     }
     pub fn job_stamp(&self, id: &str) -> u64 {
@@ -962,6 +988,9 @@
             (Key::Settled, Record::Settled(r)) => {
                 keep(&mut self.settled, (), r, stamp);
             }
+            (Key::Runs(class), Record::Runs(r)) => {
+                keep(&mut self.runs, class, r, stamp);
+            }
             _ => {}
         }
     }
@@ -1002,6 +1031,7 @@
             Key::Hire(n) => drop_older(&mut self.hires, n, stamp),
             Key::Format(node) => drop_older(&mut self.formats, node, stamp),
             Key::Settled => drop_older(&mut self.settled, &(), stamp),
+            Key::Runs(class) => drop_older(&mut self.runs, class, stamp),
         }
     }
     fn keys(&self) -> Vec<Key> {
@@ -1020,6 +1050,7 @@
             .chain(self.hires.keys().copied().map(Key::Hire))
             .chain(self.formats.keys().cloned().map(Key::Format))
             .chain(self.settled.keys().map(|_| Key::Settled))
+            .chain(self.runs.keys().copied().map(Key::Runs))
             .collect()
     }
     /// After a full reading that began at `epoch`: what it did not hold is gone, unless it
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -67,6 +67,7 @@
             draft.has_room(settings, ops, ops, bytes)
         };
         let mut full = false;
+        let mut released = Vec::new();
         // When changes are short there are always results to fill a transaction. Machines that came
         // up would never be recorded then, nor used, and be given up as never heard of; what ran on
         // dead ones would not start anew, and cancelled tasks would outlive their time on others.
@@ -89,6 +90,7 @@
                 break;
             }
             claims::release(&mut draft, task, attempt, outcome, self.wall);
+            released.push((task.clone(), attempt));
         }
         let mut armed = Vec::new();
         for (id, held) in &self.held {
@@ -162,7 +164,12 @@
         self.flushed_at = if full { 0 } else { self.now };
         self.writing = true;
         let txn = draft.finish();
-        self.commit(txn, Purpose::Flush { armed, returning }, Priority::Result);
+        let purpose = Purpose::Flush {
+            armed,
+            returning,
+            released,
+        };
+        self.commit(txn, purpose, Priority::Result);
         self.too_large(large);
     }
 
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -50,7 +50,7 @@
 
     /// Notes which zones are silent as a whole.
     pub(crate) fn judge_zones(&mut self) {
-        let due = self.settings.report_ms * 5 / 4;
+        let due = self.settings.report_due_ms();
         let mut signs: BTreeMap<String, ZoneSigns> = BTreeMap::new();
         for (id, m, _) in self.cache.machines().filter(|(_, m, _)| m.is_up()) {
             if let Some(at) = self.last_sign(id) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -84,6 +84,7 @@
         let listed = std::mem::take(&mut self.load_listed);
         self.cache.retain_listed(&listed, self.load_epoch);
         self.cache.epoch = self.load_epoch;
+        self.runs_loaded();
         self.loaded = true;
         self.changed = true;
         self.lookup_wanted = true;
@@ -132,13 +133,41 @@
                 }
                 if let (Key::Chunk(job, n), Record::Chunk(chunk)) = (&key, &record) {
                     let before = self.cache.claim_stamp(job, *n);
-                    for (_, b) in chunk.booked() {
+                    let mut claimed = Vec::new();
+                    for (index, b) in chunk.booked() {
                         if b.attempt == before {
                             self.used_at.insert(b.machine.clone(), self.now);
+                            claimed.push((index, b.attempt));
                         }
                     }
+                    let old = self.cache.chunk(job, *n).map(|c| c.booked());
+                    let waits = |index: u32| {
+                        let slot = index.saturating_sub(chunk.first) as usize;
+                        chunk.tasks.get(slot) == Some(&TaskState::Waiting)
+                    };
+                    let lost: Vec<(u32, u64)> = (old.into_iter().flatten())
+                        .filter(|(index, _)| waits(*index))
+                        .map(|(index, b)| (index, b.attempt))
+                        .collect();
+                    let task = |index| TaskId {
+                        job: job.clone(),
+                        index,
+                    };
+                    for (index, attempt) in claimed {
+                        self.claim_seen(task(index), attempt);
+                    }
+                    for (index, attempt) in lost {
+                        self.interrupted(task(index), attempt);
+                    }
                 }
+                let learned = match &key {
+                    Key::Runs(class) => Some(*class),
+                    _ => None,
+                };
                 self.cache.put(key, stamp, record);
+                if let Some(class) = learned {
+                    self.runs_changed(class);
+                }
             }
             None => {
                 if let Key::Machine(id) = &key {
@@ -147,6 +176,9 @@
                     }
                 }
                 self.cache.remove(&key, stamp);
+                if let Key::Runs(class) = &key {
+                    self.runs_changed(*class);
+                }
             }
         }
         self.changed = true;
@@ -257,8 +289,15 @@
                 self.answer(request, reply);
             }
             Purpose::Ask(request) => self.ask_committed(request, committed),
-            Purpose::Flush { armed, returning } => {
+            Purpose::Flush {
+                armed,
+                returning,
+                released,
+            } => {
                 self.written(&answer);
+                if committed {
+                    self.count_runs(released);
+                }
                 self.flushed(armed, returning, committed);
             }
             Purpose::Lookup(claimed) => {
@@ -311,6 +350,7 @@
                     self.command_stop(id, task);
                 }
             }
+            Purpose::Learn(class, batches) => self.runs_recorded(class, batches, &answer),
             Purpose::Finish(id) => {
                 self.finishing.remove(&id);
             }
--- /dev/null
+++ b/crates/core/tests/learned.rs
@@ -0,0 +1,377 @@
+//! Stories of learned run times: what nodes observe, that nothing counts twice, what they survive,
+//! and that nothing rests on them.
+
+mod world;
+
+use glenmount_core::model::*;
+use glenmount_core::records::*;
+use glenmount_runtimes::book::class_id;
+use glenmount_runtimes::constants::CLASSES_KEPT;
+use glenmount_runtimes::history::History;
+use world::*;
+
+fn learning(seed: u64, nodes: usize, machines: usize) -> World {
+    let mut w = World::new(seed, nodes, machines);
+    w.settings.learned = LearnedUse {
+        learn: true,
+        due: true,
+        stops: true,
+        rent: true,
+        notice: true,
+    };
+    w
+}
+
+fn of_class(id: &str, tasks: u32, class: &str) -> JobSpec {
+    JobSpec {
+        class: class.into(),
+        ..job(id, tasks)
+    }
+}
+
+/// What is on record of a class of team red.
+fn recorded(w: &World, class: &str) -> Option<History> {
+    match w.store.get(&Key::Runs(class_id("red", class))) {
+        Some((Record::Runs(r), _)) => History::unpack(&r.packed),
+        _ => None,
+    }
+}
+
+fn runs(w: &World, class: &str) -> u64 {
+    recorded(w, class).map_or(0, |h| h.runs)
+}
+
+/// Runs jobs one after the other, each until it is done on record.
+fn work(w: &mut World, from: u32, jobs: u32, tasks: u32, class: &str) {
+    for n in from..from + jobs {
+        let id = format!("j-{n}");
+        w.submit(
+            n as usize % w.settings.nodes.len(),
+            of_class(&id, tasks, class),
+        );
+        let done = |w: &World| w.job_phase(&id) == Some(Phase::Done);
+        w.until(120_000, "the job is done", done);
+    }
+}
+
+#[test]
+fn three_nodes_that_hear_the_same_ends_record_each_run_once() {
+    let mut w = learning(1, 3, 6);
+    w.run(3_000);
+    // Late and doubled reports show every node the same ends.
+    w.mishaps.report_twice = 0.5;
+    w.mishaps.answer_slow = 0.2;
+    work(&mut w, 1, 12, 4, "batch");
+    w.mishaps = Mishaps::default();
+    w.run(120_000);
+    let history = recorded(&w, "batch").expect("on record");
+    assert!(history.runs <= 48, "{} runs of 48", history.runs);
+    assert!(history.runs >= 30, "{} runs of 48", history.runs);
+    // Heard within half a second or so of what they took.
+    for j in history.jobs().iter().filter(|j| j.runs > 0) {
+        let secs = j.mean.exp();
+        assert!((4.2..6.2).contains(&secs), "{secs}");
+    }
+    w.check_records();
+}
+
+#[test]
+fn lost_and_late_transactions_lose_runs_but_count_none_twice() {
+    for seed in 0..6 {
+        let mut w = learning(seed, 3, 4);
+        w.run(3_000);
+        w.mishaps.txn_answer_lost = 0.1;
+        w.mishaps.txn_late = 0.1;
+        work(&mut w, 1, 10, 3, "batch");
+        w.mishaps = Mishaps::default();
+        w.run(150_000);
+        assert!(runs(&w, "batch") <= 30, "{} runs", runs(&w, "batch"));
+        assert!(runs(&w, "batch") >= 8, "{} runs", runs(&w, "batch"));
+    }
+}
+
+#[test]
+fn a_node_that_dies_before_it_records_loses_little() {
+    let mut w = learning(3, 3, 6);
+    w.run(3_000);
+    work(&mut w, 1, 8, 4, "batch");
+    w.run(60_000);
+    let before = runs(&w, "batch");
+    work(&mut w, 20, 1, 4, "batch");
+    for n in 0..3 {
+        w.crash(n, 1_000);
+    }
+    w.run(30_000);
+    assert!(runs(&w, "batch") >= before);
+    // It goes on from what is on record.
+    work(&mut w, 30, 6, 4, "batch");
+    w.run(90_000);
+    assert!(runs(&w, "batch") > before, "nothing after {before}");
+    for slot in &w.nodes {
+        let node = slot.node.as_ref().expect("up");
+        let known = node.class_history("red", "batch").expect("read");
+        assert!(known.runs >= runs(&w, "batch"));
+    }
+}
+
+#[test]
+fn a_state_service_that_refuses_for_minutes_costs_no_run() {
+    let mut w = learning(4, 3, 6);
+    w.run(3_000);
+    work(&mut w, 1, 1, 4, "batch");
+    w.state_down = true;
+    w.run(180_000);
+    w.state_down = false;
+    w.run(5_000);
+    work(&mut w, 10, 4, 4, "batch");
+    w.run(120_000);
+    let runs = runs(&w, "batch");
+    assert!((10..=20).contains(&runs), "{runs} of 20");
+}
+
+#[test]
+fn records_take_less_than_a_hundredth_of_the_changes() {
+    let mut w = learning(5, 3, 8);
+    w.run(3_000);
+    let (mut puts, mut last, begun) = (0, Vec::new(), w.now);
+    for n in 0..40 {
+        let class = format!("c{}", n % 8);
+        w.submit(n % 3, of_class(&format!("j-{}", n + 1), 2, &class));
+        w.run(4_000);
+        let stamps: Vec<u64> = (w.store.iter())
+            .filter(|(k, _)| matches!(k, Key::Runs(_)))
+            .map(|(_, (_, stamp))| *stamp)
+            .collect();
+        puts += stamps.iter().filter(|s| !last.contains(*s)).count();
+        last = stamps;
+    }
+    let seconds = (w.now - begun) as f64 / 1e3;
+    // The announced rate is 35 a second.
+    let most = seconds * 35.0 * 0.01 + 3.0;
+    assert!(puts > 5 && puts as f64 <= most, "{puts} in {seconds} s");
+}
+
+#[test]
+fn smaller_values_hold_what_is_learned() {
+    let mut w = learning(6, 2, 4);
+    (w.settings.value_bytes, w.settings.txn_ops) = (1_536, 3);
+    w.run(3_000);
+    let class = "x".repeat(200);
+    work(&mut w, 1, 30, 1, &class);
+    w.run(90_000);
+    let history = recorded(&w, &class).expect("on record");
+    assert!(history.jobs().len() >= 20 && w.refused == 0);
+}
+
+#[test]
+fn the_least_used_classes_go_first() {
+    let mut w = learning(7, 1, 4);
+    w.run(3_000);
+    work(&mut w, 1, 2, 2, "kept");
+    w.run(10_000);
+    let Some((Record::Runs(like), _)) = w.store.get(&Key::Runs(class_id("red", "kept"))) else {
+        panic!("not on record");
+    };
+    let like = like.clone();
+    for n in 0..CLASSES_KEPT as u64 {
+        let old = RunsRecord {
+            at: like.at - 1_000_000 + n,
+            class: format!("old{n}"),
+            ..like.clone()
+        };
+        w.put_record(Key::Runs(n), Record::Runs(old));
+    }
+    w.run(2_000);
+    work(&mut w, 10, 2, 2, "fresh");
+    w.run(30_000);
+    let classes = w.store.keys().filter(|k| matches!(k, Key::Runs(_))).count();
+    assert!(classes <= CLASSES_KEPT + 1, "{classes}");
+    assert!(!w.store.contains_key(&Key::Runs(0)), "the oldest is gone");
+    assert!(runs(&w, "kept") > 0 && runs(&w, "fresh") > 0);
+}
+
+#[test]
+fn a_damaged_record_is_passed_over_and_written_anew() {
+    let mut w = learning(8, 2, 4);
+    w.run(3_000);
+    work(&mut w, 1, 3, 2, "batch");
+    w.run(30_000);
+    let key = Key::Runs(class_id("red", "batch"));
+    let Some((Record::Runs(record), _)) = w.store.get(&key) else {
+        panic!("not on record");
+    };
+    let value = serde_json::to_string(&Record::Runs(record.clone()).value(3)).unwrap();
+    let broken = value.replacen("\"n\":", "\"n\":9", 1);
+    let broken = Record::read(&key, serde_json::from_str(&broken).unwrap()).expect("its shape");
+    w.put_record(key, broken);
+    w.run(1_000);
+    work(&mut w, 10, 3, 2, "batch");
+    w.run(60_000);
+    let history = recorded(&w, "batch").expect("sound again");
+    assert!(history.runs > 0 && history.runs <= 12, "{}", history.runs);
+}
+
+#[test]
+fn saved_progress_counts_and_what_was_cut_short_is_not_short() {
+    let mut w = learning(9, 1, 1);
+    w.class_ms.insert("long".into(), 20_000);
+    w.run(3_000);
+    let long = JobSpec {
+        checkpoint_s: 1.0,
+        save_s: 0.1,
+        need: Room {
+            cpus: 4_000,
+            gpus: 0,
+            ram: 1_000,
+        },
+        rank: Rank::Low,
+        ..of_class("j-1", 1, "long")
+    };
+    w.capacity = 0;
+    w.submit(0, long);
+    w.until(20_000, "it runs", |w| w.running("j-1") == 1);
+    w.run(8_000);
+    let urgent = JobSpec {
+        rank: Rank::High,
+        ..of_class("j-2", 1, "urgent")
+    };
+    w.submit(0, urgent);
+    w.until(60_000, "urgent work is done", |w| {
+        w.job_phase("j-2") == Some(Phase::Done)
+    });
+    w.until(90_000, "the long one too", |w| {
+        w.job_phase("j-1") == Some(Phase::Done)
+    });
+    w.run(20_000);
+    let history = recorded(&w, "long").expect("on record");
+    let job = history.jobs()[0];
+    assert_eq!(job.runs, 1);
+    let secs = job.mean.exp();
+    assert!(
+        (17.0..22.0).contains(&secs),
+        "{secs} of 20 s in two attempts"
+    );
+}
+
+#[test]
+fn machines_that_are_slow_do_not_spoil_a_class() {
+    let mut w = learning(10, 2, 4);
+    w.run(3_000);
+    w.slow.insert("n-000000".into());
+    work(&mut w, 1, 40, 8, "batch");
+    w.run(60_000);
+    let history = recorded(&w, "batch").expect("on record");
+    let mut late: Vec<f64> = history
+        .jobs()
+        .iter()
+        .rev()
+        .take(8)
+        .map(|j| j.mean)
+        .collect();
+    late.sort_by(f64::total_cmp);
+    // One run in four took 15 s; were it counted, the mean would be 6.6 s.
+    assert!(late[4].exp() < 6.2, "{}", late[4].exp());
+}
+
+#[test]
+fn through_a_rolling_upgrade_old_nodes_pass_over_what_is_learned() {
+    let mut w = World::old(11, 3, 6);
+    w.settings.learned.learn = true;
+    w.run(4_000);
+    work(&mut w, 1, 3, 3, "batch");
+    // One by one; in between both serve on the same records, and the new ones learn.
+    for n in 0..3 {
+        w.upgrade(n, 1_000);
+        w.run(8_000);
+        // Workers report to all three again.
+        for (i, worker) in w.workers.values_mut().enumerate() {
+            worker.node = i % 3;
+        }
+        w.run(3_000);
+        work(&mut w, 10 * (n as u32 + 1), 4, 3, "batch");
+        w.run(20_000);
+        if n == 1 {
+            assert!(runs(&w, "batch") > 0, "learned beside an old node");
+        }
+    }
+    w.run(30_000);
+    assert!(runs(&w, "batch") <= 45);
+    w.check_records();
+}
+
+#[test]
+fn what_is_learned_may_vanish_at_any_time() {
+    for seed in 20..24 {
+        let mut w = learning(seed, 3, 6);
+        w.run(3_000);
+        w.mishaps.txn_late = 0.05;
+        w.mishaps.report_late = 0.05;
+        w.mishaps.command_lost = 0.05;
+        for n in 1..40u32 {
+            let class = format!("c{}", n % 3);
+            let spec = JobSpec {
+                rank: [Rank::Low, Rank::High][n as usize % 2],
+                estimate_s: [0.1, 500.0][n as usize % 2],
+                ..of_class(&format!("j-{n}"), 3, &class)
+            };
+            w.submit(n as usize % 3, spec);
+            w.run(2_500);
+            if n % 7 == 0 {
+                let keys: Vec<Key> = (w.store.keys())
+                    .filter(|k| matches!(k, Key::Runs(_)))
+                    .cloned()
+                    .collect();
+                keys.into_iter().for_each(|k| w.remove_record(k));
+            }
+            if n % 11 == 0 {
+                w.crash(n as usize % 3, 1_500);
+            }
+        }
+        w.mishaps = Mishaps::default();
+        for n in 1..40 {
+            let id = format!("j-{n}");
+            if w.job_phase(&id).is_some() {
+                w.until(200_000, "all that was accepted is done", |w| {
+                    w.job_phase(&id) == Some(Phase::Done)
+                });
+            }
+        }
+    }
+}
+
+#[test]
+fn work_about_to_end_is_not_stopped_for_others() {
+    let mut w = learning(12, 1, 2);
+    w.capacity = 0;
+    w.class_ms.insert("long".into(), 20_000);
+    w.run(3_000);
+    let long = |id: &str| JobSpec {
+        rank: Rank::Low,
+        need: Room {
+            cpus: 4_000,
+            gpus: 0,
+            ram: 1_000,
+        },
+        ..of_class(id, 2, "long")
+    };
+    for n in 11..30 {
+        let id = format!("j-{n}");
+        w.submit(0, long(&id));
+        w.until(90_000, "done", |w| w.job_phase(&id) == Some(Phase::Done));
+    }
+    // 19 s into the next, of 20, urgent work arrives: room comes by itself.
+    w.submit(0, long("j-9"));
+    w.until(30_000, "it runs", |w| w.running("j-9") == 2);
+    w.run(19_000);
+    let starts = w.starts;
+    let urgent = JobSpec {
+        rank: Rank::High,
+        ..of_class("j-10", 1, "urgent")
+    };
+    w.submit(0, urgent);
+    w.until(20_000, "urgent work runs", |w| w.running("j-10") == 1);
+    w.until(20_000, "the other is done", |w| {
+        w.job_phase("j-9") == Some(Phase::Done)
+    });
+    assert_eq!(w.starts, starts + 1, "nothing was started anew");
+}
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -1,7 +1,7 @@
 //! The platform's settings file (TOML) and the operators' own (XML), checked on reading.
 
 use glenmount_core::constants::*;
-use glenmount_core::model::{have_milli, Settings, Team};
+use glenmount_core::model::{have_milli, LearnedUse, Settings, Team};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -107,6 +107,37 @@
 pub struct Operator {
     #[serde(rename = "idle-return-s")]
     idle_return_s: Option<f64>,
+    #[serde(rename = "learned-run-times")]
+    learned_run_times: Option<LearnedXml>,
+}
+
+/// Run times are learned where this stands, and used for what it names.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct LearnedXml {
+    #[serde(rename = "for")]
+    uses: Vec<String>,
+}
+
+fn learned(xml: &LearnedXml) -> Result<LearnedUse, String> {
+    let mut learned = LearnedUse {
+        learn: true,
+        ..LearnedUse::default()
+    };
+    for what in &xml.uses {
+        match what.as_str() {
+            "due" => learned.due = true,
+            "stops" => learned.stops = true,
+            "rent" => learned.rent = true,
+            "notice" => learned.notice = true,
+            _ => {
+                return Err(format!(
+                    "operator-settings.learned-run-times.for: must be due, stops, rent or notice, not {what:?}"
+                ))
+            }
+        }
+    }
+    Ok(learned)
 }
 
 /// All that the program needs to know to run.
@@ -277,6 +308,10 @@
         Some(s) => seconds("operator-settings.idle-return-s", s, 1.0)?,
         None => IDLE_RETURN_MS,
     };
+    let learned_use = match &operator.learned_run_times {
+        Some(xml) => learned(xml)?,
+        None => LearnedUse::default(),
+    };
     let share = 1.0 / p.count as f64;
     Ok(Config {
         core: Settings {
@@ -297,6 +332,7 @@
             clock_off_ms: p.clock_off_ms as u64,
             idle_return_ms,
             list_lag_ms,
+            learned: learned_use,
         },
         client_listen: file.client_listen,
         cluster_listen: file.cluster_listen,
@@ -413,6 +449,20 @@
         let xml = "<operator-settings><idle-return-s>90</idle-return-s></operator-settings>";
         let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
         assert_eq!(c.core.idle_return_ms, 90_000);
+        assert!(!c.core.learned.learn);
+        let xml = "<operator-settings><learned-run-times><for>due</for><for>rent</for>\
+                   </learned-run-times></operator-settings>";
+        let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
+        let learned = c.core.learned;
+        assert!(learned.learn && learned.due && learned.rent && !learned.stops);
+        let none = "<operator-settings><learned-run-times/></operator-settings>";
+        let c = config(SAMPLE, &operator(none).unwrap()).unwrap();
+        assert!(c.core.learned.learn && !c.core.learned.due);
+        let error = config(
+            SAMPLE,
+            &operator(&xml.replace("due", "everything")).unwrap(),
+        );
+        assert!(error.unwrap_err().contains("learned-run-times.for"));
         let xml = "<operator-settings><idle-return-s>-1</idle-return-s></operator-settings>";
         let error = config(SAMPLE, &operator(xml).unwrap()).unwrap_err();
         assert!(error.contains("idle-return-s"), "{error}");
--- a/crates/runtimes/src/book.rs
+++ b/crates/runtimes/src/book.rs
@@ -109,8 +109,7 @@
         self.classes.is_empty()
     }
 
-    fn class(&mut self, team: &str, class: &str) -> &mut Class {
-        let id = class_id(team, class);
+    fn class(&mut self, id: ClassId, team: &str, class: &str) -> &mut Class {
         if !self.classes.contains_key(&id) && self.classes.len() >= CLASSES_KEPT {
             // Those with something to record go last.
             let least = self.classes.iter();
@@ -132,7 +131,7 @@
 
     /// Counts a run that was heard here; it is to be recorded.
     pub fn ran(&mut self, run: &Run) {
-        let class = self.class(&run.team, &run.class);
+        let class = self.class(class_id(&run.team, &run.class), &run.team, &run.class);
         let batch = Batch::of(run);
         match class.fresh(batch.job.tag) {
             Some(known) => known.add(&batch),
@@ -147,9 +146,9 @@
         class.join();
     }
 
-    /// Takes up what is on record.
-    pub fn recorded(&mut self, team: &str, class: &str, history: History) {
-        let known = self.class(team, class);
+    /// Takes up what is on record of a class, whose names may be shortened there.
+    pub fn recorded(&mut self, id: ClassId, team: &str, class: &str, history: History) {
+        let known = self.class(id, team, class);
         known.history = history;
         known.join();
     }
@@ -210,6 +209,11 @@
         }
     }
 
+    /// What is learned of a class, recorded or not.
+    pub fn history(&self, id: ClassId) -> Option<&History> {
+        self.classes.get(&id).map(|c| &c.whole)
+    }
+
     /// Team, class and history of all, recorded or not.
     pub fn classes(&self) -> impl Iterator<Item = (&str, &str, &History)> {
         (self.classes.values()).map(|c| (c.team.as_str(), c.name.as_str(), &c.whole))
