glenmountctl: histories as Parquet, replays of them, and what is learned now

Need: operators can't see what is learned, nor whether to trust it. history export writes the runs of controllers' logs, or what the state service remembers, sorted by start however large; estimates replay plays such a file knowing only the past at each step and prints errors and coverage beside the owner's word and a plain mean; estimates show prints what is learned. A binary of its own: the controllers' machines have no room for its libraries.

--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,147 @@
+//! A run as exports have it, and how it is read from a controller's log.
+
+use crate::Failure;
+use glenmount_runtimes::{End, Run};
+use serde::{Deserialize, Serialize};
+
+/// Bytes of a name at most, as submissions allow.
+const NAME_BYTES: usize = 200;
+/// Milliseconds since 1970 that a start may have: until the year 2286.
+const MOST_MS: i64 = 9_999_999_999_999;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Milliseconds since 1970 at which the run began, by the time of day of the node that heard it.
+    pub start_ms: i64,
+    /// Run time in seconds, without the fetch of the image.
+    pub secs: f64,
+    pub team: String,
+    pub class: String,
+    pub image: String,
+    pub job: String,
+    /// The task's number; none where a row stands for several tasks of a job.
+    pub task: Option<i32>,
+    /// The owner's estimate in seconds; 0 for none.
+    pub expect_s: f64,
+    /// Whether it completed. If not, it takes at least so long.
+    pub done: bool,
+    /// Tasks that the row stands for, with the geometric mean of their run times.
+    pub runs: i32,
+    pub machine: Option<String>,
+}
+
+impl Row {
+    pub fn run(&self) -> Run {
+        Run {
+            team: self.team.clone(),
+            class: self.class.clone(),
+            image: self.image.clone(),
+            job: self.job.clone(),
+            expect_s: self.expect_s,
+            secs: self.secs,
+            end: match self.done {
+                true => End::Done,
+                false => End::AtLeast,
+            },
+        }
+    }
+
+    pub fn end_ms(&self) -> i64 {
+        self.start_ms.saturating_add((self.secs * 1e3) as i64)
+    }
+
+    /// Says which field can't be.
+    pub fn check(&self) -> Result<(), Failure> {
+        let time = |field: &str, x: f64| match x.is_finite() && (0.0..=1e9).contains(&x) {
+            true => Ok(()),
+            false => Err(format!(
+                "{field}: must be between 0 and 1e9 seconds, not {x}"
+            )),
+        };
+        time("secs", self.secs)?;
+        time("expect_s", self.expect_s)?;
+        if !(0..=MOST_MS).contains(&self.start_ms) {
+            return Err(format!("start_ms: {} is no time of day", self.start_ms));
+        }
+        if self.runs < 1 {
+            return Err(format!("runs: must be at least 1, not {}", self.runs));
+        }
+        let names = [
+            ("team", &self.team),
+            ("class", &self.class),
+            ("image", &self.image),
+            ("job", &self.job),
+        ];
+        for (field, name) in names {
+            if name.len() > NAME_BYTES {
+                return Err(format!("{field}: longer than {NAME_BYTES} bytes"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// As the controllers log it.
+#[derive(Deserialize)]
+struct Logged {
+    at: i64,
+    job: String,
+    task: i32,
+    team: String,
+    class: String,
+    image: String,
+    expect_s: f64,
+    secs: f64,
+    done: bool,
+    machine: String,
+}
+
+/// What marks such a line, whatever stands before it.
+const MARK: &str = "ran run={";
+
+/// The run that a line of a controller's log tells of, if it does.
+pub fn of_line(line: &str) -> Option<Result<Row, Failure>> {
+    let at = line.find(MARK)? + MARK.len() - 1;
+    let mut values = serde_json::Deserializer::from_str(&line[at..]).into_iter::<Logged>();
+    let row = match values.next()? {
+        Err(e) => Err(e.to_string()),
+        Ok(l) => {
+            let row = Row {
+                start_ms: l.at.saturating_sub((l.secs.clamp(0.0, 1e9) * 1e3) as i64),
+                secs: l.secs,
+                team: l.team,
+                class: l.class,
+                image: l.image,
+                job: l.job,
+                task: Some(l.task),
+                expect_s: l.expect_s,
+                done: l.done,
+                runs: 1,
+                machine: Some(l.machine),
+            };
+            row.check().map(|()| row)
+        }
+    };
+    Some(row)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_line_is_read_whatever_stands_before_it() {
+        let json = r#"{"at":10000,"class":"a b","done":true,"expect_s":3.0,"image":"i","job":"j-1","machine":"n","secs":2.5,"task":7,"team":"t"}"#;
+        let row = of_line(&format!("12:00 node INFO ran run={json}"))
+            .unwrap()
+            .unwrap();
+        assert_eq!((row.start_ms, row.secs, row.task), (7_500, 2.5, Some(7)));
+        assert!(of_line("INFO claimed task=j-1/0").is_none());
+        let broken = json.replace("2.5", "-2.5");
+        let error = of_line(&format!("ran run={broken}")).unwrap().unwrap_err();
+        assert!(error.contains("secs"), "{error}");
+        assert!(of_line(&format!("ran run={}", &json[..40]))
+            .unwrap()
+            .is_err());
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/state.rs
@@ -0,0 +1,95 @@
+//! What is read from a state service: pages, refusals, damage, and what is none.
+
+use glenmount_core::records::{Key, Record, RunsRecord};
+use glenmount_runtimes::book::class_id;
+use glenmount_runtimes::history::{Batch, History};
+use glenmount_runtimes::{End, Run};
+use glenmountctl::learned;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+
+/// Answers requests in turn; says what was asked.
+fn answering(answers: Vec<(u16, String)>) -> (String, std::thread::JoinHandle<Vec<String>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let served = std::thread::spawn(move || {
+        let mut asked = Vec::new();
+        for (status, body) in answers {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+            asked.push(lines.next().unwrap().unwrap());
+            while lines.next().is_some_and(|l| !l.unwrap().is_empty()) {}
+            let length = body.len();
+            let head = format!("HTTP/1.1 {status} X\r\nconnection: close\r\n");
+            write!(stream, "{head}content-length: {length}\r\n\r\n{body}").unwrap();
+        }
+        asked
+    });
+    (address, served)
+}
+
+fn item(class: &str, jobs: u32) -> serde_json::Value {
+    let mut history = History::default();
+    for n in 0..jobs {
+        let run = Run {
+            team: "red".into(),
+            class: class.into(),
+            image: "i".into(),
+            job: format!("j-{n}"),
+            expect_s: 30.0,
+            secs: 60.0,
+            end: End::Done,
+        };
+        history.take(&Batch::of(&run));
+    }
+    let record = RunsRecord {
+        team: "red".into(),
+        class: class.into(),
+        at: 1_700_000_000_000,
+        packed: history.pack(),
+    };
+    let key = Key::Runs(class_id("red", class)).path();
+    serde_json::json!({"k": key, "v": Record::Runs(record).value(3), "stamp": 4})
+}
+
+#[test]
+fn pages_are_followed_refusals_asked_again_and_damage_counted() {
+    let mut broken = item("c", 3);
+    broken["v"]["n"] = 77.into();
+    let first = serde_json::json!({"items": [item("a", 12), broken], "more": true, "epoch": 9});
+    let second = serde_json::json!({"items": [item("b", 2)], "more": false, "epoch": 9});
+    let (address, served) = answering(vec![
+        (200, first.to_string()),
+        (503, String::new()),
+        (200, second.to_string()),
+    ]);
+    let (records, damaged) = learned::read(&address).unwrap();
+    assert_eq!((records.len(), damaged), (2, 1));
+    let asked = served.join().unwrap();
+    let last = Key::Runs(class_id("red", "c")).path();
+    assert!(asked[1].contains(&format!("since={last}")), "{asked:?}");
+    let shown = learned::shown(&records[0].0, &records[0].1);
+    assert!(
+        (55.0..65.0).contains(&shown.median_s) && shown.runs == 12,
+        "{shown:?}"
+    );
+    assert!((shown.owner_bias.unwrap().exp() - 2.0).abs() < 0.01);
+    let rows = learned::rows(&records[0].0, &records[0].1);
+    assert_eq!(rows.len(), 12);
+    assert!(rows
+        .iter()
+        .all(|r| r.check().is_ok() && (r.secs - 60.0).abs() < 0.1));
+    assert!(rows.windows(2).all(|r| r[0].start_ms < r[1].start_ms));
+}
+
+#[test]
+fn what_is_no_state_service_is_named_as_such() {
+    let (address, served) = answering(vec![(404, String::new())]);
+    let error = learned::read(&address).unwrap_err();
+    assert!(error.contains(&address) && error.contains("404"), "{error}");
+    served.join().unwrap();
+    let (address, served) = answering(vec![(200, "<html>".into())]);
+    let error = learned::read(&address).unwrap_err();
+    assert!(error.contains("not the state service's answer"), "{error}");
+    served.join().unwrap();
+}
