Room that comes free before a boot is not counted on when renting

Tried: tasks likely to end (7 in 10) before a rented machine would be up counted as room, so that less is rented. Taken out again.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -25,15 +25,13 @@
 }
 
 /// What to rent for work that no machine, present or on its way, can take: per set the
-/// cheapest way to serve it, offers refused lately passed over. `free` is room on machines that are
-/// up by the time that a rented one would be, `pending` tells whether a
+/// cheapest way to serve it, offers refused lately passed over. `pending` tells whether a
 /// machine that a rental brought is still on its way, `quiet` whether a zone is cut off: what is
 /// rented there would come up unheard.
 pub fn wishes(
     cache: &Cache,
     types: &HashMap<String, MachineType>,
     work: &[Waiting],
-    free: &[(String, Room)],
     pending: impl Fn(&str) -> bool,
     quiet: impl Fn(&str) -> bool,
     wall: WallMs,
@@ -83,16 +81,6 @@
             push(type_name, zone, spot, count);
         }
     }
-    for (id, room) in free {
-        if let Some(m) = cache.machine(id) {
-            coming.push(Virtual {
-                type_name: m.type_name.clone(),
-                zone: m.zone.clone(),
-                spot: m.spot,
-                room: *room,
-            });
-        }
-    }
     let known = coming.len();
     for w in work {
         let Some(spec) = cache.open_job(&w.job) else {
--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -324,7 +324,7 @@
     /// Works out anew what is to be known of these jobs, as far as it is old.
     pub(crate) fn look_at_run_times(&mut self) {
         let uses = self.settings.learned;
-        if !(uses.learn && (uses.due || uses.stops || uses.rent || uses.notice)) {
+        if !(uses.learn && (uses.due || uses.stops || uses.notice)) {
             return;
         }
         let now = self.now;
@@ -402,37 +402,6 @@
         known.is_some_and(|c| c >= chance)
     }
 
-    /// Room on machines by the time that a rented one would be up: what is free, and what ends
-    /// until then. Only machines where something does.
-    pub(crate) fn coming_free(&self) -> Vec<(String, Room)> {
-        if !(self.learns() && self.settings.learned.rent) {
-            return Vec::new();
-        }
-        let boots = self.types.values().map(|t| t.boot_s);
-        let within = (boots.fold(f64::INFINITY, f64::min).min(600.0) * 1e3) as Millis;
-        let mut coming = Vec::new();
-        for (id, m, _) in self.cache.machines() {
-            let Some(kind) = self.types.get(&m.type_name) else {
-                continue;
-            };
-            if m.phase != MachinePhase::Up || !self.usable(id) {
-                continue;
-            }
-            let mut staying = Room::default();
-            let mut ending = false;
-            for (task, p) in self.cache.bookings(id) {
-                match self.about_to_end(task, p.booking.attempt, within, LIKELY_CHANCE) {
-                    true => ending = true,
-                    false => staying = staying.plus(&p.need),
-                }
-            }
-            if ending {
-                coming.push((id.to_string(), kind.room.less(&staying)));
-            }
-        }
-        coming
-    }
-
     /// Forgets what belongs to what is over.
     pub(crate) fn forget_runs(&mut self) {
         let cache = &self.cache;
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -174,8 +174,6 @@
     pub due: bool,
     /// Which tasks are stopped for others: not those about to end.
     pub stops: bool,
-    /// Renting: not for what will have room before a machine is up.
-    pub rent: bool,
     /// Whether a task ends before its spot machine is taken.
     pub notice: bool,
 }
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -137,7 +137,7 @@
     }
 
     /// Whether a machine may be counted on for what waits.
-    pub(crate) fn usable(&self, id: &str) -> bool {
+    fn usable(&self, id: &str) -> bool {
         let zone = self.cache.machine(id).map(|m| &m.zone);
         zone.is_some_and(|z| self.reachable(id, z)) && !self.condemned.contains_key(id)
     }
@@ -220,12 +220,10 @@
         if work.is_empty() || self.hire_busy || !self.hires_asked.is_empty() {
             return;
         }
-        let free = self.coming_free();
         let wishes = capacity::wishes(
             &self.cache,
             &self.types,
             work,
-            &free,
             |id| self.on_its_way(id),
             |zone| self.zone_quiet(zone),
             self.wall,
--- a/crates/core/tests/learned.rs
+++ b/crates/core/tests/learned.rs
@@ -16,7 +16,6 @@
         learn: true,
         due: true,
         stops: true,
-        rent: true,
         notice: true,
     };
     w
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -128,11 +128,10 @@
         match what.as_str() {
             "due" => learned.due = true,
             "stops" => learned.stops = true,
-            "rent" => learned.rent = true,
             "notice" => learned.notice = true,
             _ => {
                 return Err(format!(
-                    "operator-settings.learned-run-times.for: must be due, stops, rent or notice, not {what:?}"
+                    "operator-settings.learned-run-times.for: must be due, stops or notice, not {what:?}"
                 ))
             }
         }
@@ -450,11 +449,11 @@
         let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
         assert_eq!(c.core.idle_return_ms, 90_000);
         assert!(!c.core.learned.learn);
-        let xml = "<operator-settings><learned-run-times><for>due</for><for>rent</for>\
+        let xml = "<operator-settings><learned-run-times><for>due</for><for>notice</for>\
                    </learned-run-times></operator-settings>";
         let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
         let learned = c.core.learned;
-        assert!(learned.learn && learned.due && learned.rent && !learned.stops);
+        assert!(learned.learn && learned.due && learned.notice && !learned.stops);
         let none = "<operator-settings><learned-run-times/></operator-settings>";
         let c = config(SAMPLE, &operator(none).unwrap()).unwrap();
         assert!(c.core.learned.learn && !c.core.learned.due);
