--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -332,6 +332,9 @@
 /// The quantile of a job's run time that must still fit for a goal to be in reach: owners' estimates
 /// are above the run time by `FEASIBLE_SHARE` as often.
 pub const FEASIBLE_CHANCE: f64 = 0.15;
+/// Of a run that ends with less than this chance it is not worked out how likely that is: thousands
+/// run at once, some microseconds each.
+pub const EARLY_CHANCE: f64 = 0.2;
 /// A run's end is counted on when it is so likely.
 pub const LIKELY_CHANCE: f64 = 0.7;
 /// A task is not stopped for others when it more likely ends by itself.
--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -42,6 +42,8 @@
     at: Millis,
     tasks: Mixture,
     least_ms: u64,
+    /// Few of its tasks are over by then: of any younger there is no need to work out more.
+    early_s: f64,
 }
 
 #[derive(Default)]
@@ -351,11 +353,13 @@
                 expect_s: spec.estimate_s,
             });
             let least_ms = (tasks.quantile(FEASIBLE_CHANCE).exp() * 1e3) as u64;
+            let early_s = tasks.quantile(EARLY_CHANCE).exp();
             if self.learned.known.len() < ESTIMATES_KEPT {
                 let known = Known {
                     at: now,
                     tasks,
                     least_ms,
+                    early_s,
                 };
                 self.learned.known.insert(spec.id, known);
             }
@@ -385,6 +389,9 @@
         };
         let carried = self.learned.carried.get(task).and_then(|c| c.secs);
         let elapsed = (self.now - start) as f64 / 1e3 + carried.unwrap_or(0.0);
+        if elapsed + ms as f64 / 1e3 < known.early_s {
+            return Some(0.0);
+        }
         let share = |secs: f64| known.tasks.share_within(glenmount_runtimes::ln(secs));
         let (over, by_then) = (share(elapsed), share(elapsed + ms as f64 / 1e3));
         (over < 0.99).then(|| (by_then - over) / (1.0 - over))
