--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -335,6 +335,8 @@
 /// Of a run that ends with less than this chance it is not worked out how likely that is: thousands
 /// run at once, some microseconds each.
 pub const EARLY_CHANCE: f64 = 0.2;
+/// The quantile of a job's run time by which its latest start lies before it is due.
+pub const MOST_CHANCE: f64 = 0.7;
 /// A run's end is counted on when it is so likely.
 pub const LIKELY_CHANCE: f64 = 0.7;
 /// A task is not stopped for others when it more likely ends by itself.
--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -24,6 +24,7 @@
 /// When an attempt was claimed, then when it was first heard to run.
 #[derive(Clone, Copy, Debug)]
 struct Begun {
+    attempt: u64,
     at: Millis,
     runs: bool,
     /// Its machine reported here shortly before without it, so that is when it began.
@@ -42,6 +43,8 @@
     at: Millis,
     tasks: Mixture,
     least_ms: u64,
+    /// Most of its tasks are over by then.
+    most_ms: u64,
     /// Few of its tasks are over by then: of any younger there is no need to work out more.
     early_s: f64,
 }
@@ -50,7 +53,8 @@
 pub(crate) struct Learned {
     pub book: Book,
     machines: Machines,
-    begun: HashMap<Attempt, Begun>,
+    /// Of each task's latest attempt.
+    begun: HashMap<TaskId, Begun>,
     carried: HashMap<TaskId, Carried>,
     /// Runs that ended, as heard here, until that is on record.
     ended: HashMap<Attempt, (Run, String)>,
@@ -92,11 +96,15 @@
         if self.learns() && self.learned.begun.len() < ATTEMPTS_FOLLOWED {
             let at = self.now;
             let begun = Begun {
+                attempt,
                 at,
                 runs: false,
                 exact: false,
             };
-            self.learned.begun.entry((task, attempt)).or_insert(begun);
+            let known = self.learned.begun.entry(task).or_insert(begun);
+            if known.attempt != attempt {
+                *known = begun;
+            }
         }
     }
 
@@ -128,19 +136,19 @@
         let recent = self.settings.report_due_ms() + SILENCE_SPARE_MS;
         let before = self.learned.reported.get(&report.machine);
         let exact = before.is_some_and(|(s, at)| *s == report.session && self.now < at + recent);
-        let key = (task.clone(), attempt);
         let room = self.learned.begun.len() < ATTEMPTS_FOLLOWED;
-        match self.learned.begun.get_mut(&key) {
-            Some(begun) if begun.runs => {}
+        match self.learned.begun.get(task) {
+            Some(begun) if begun.runs && begun.attempt == attempt => {}
             None if !room => {}
             _ => {
                 let at = self.now;
                 let begun = Begun {
+                    attempt,
                     at,
                     runs: true,
                     exact,
                 };
-                self.learned.begun.insert(key, begun);
+                self.learned.begun.insert(task.clone(), begun);
             }
         }
     }
@@ -159,7 +167,8 @@
         if !self.learns() || self.learned.ended.contains_key(&key) {
             return;
         }
-        let begun = self.learned.begun.get(&key).copied();
+        let begun = self.learned.begun.get(task).copied();
+        let begun = begun.filter(|b| b.attempt == attempt);
         let booked = self.cache.attempt(task, attempt);
         let (Some(begun), Some(booked)) = (begun.filter(|b| b.runs), booked) else {
             return;
@@ -326,7 +335,7 @@
     /// Works out anew what is to be known of these jobs, as far as it is old.
     pub(crate) fn look_at_run_times(&mut self) {
         let uses = self.settings.learned;
-        if !(uses.learn && (uses.due || uses.stops || uses.notice)) {
+        if !(uses.learn && (uses.order || uses.due || uses.stops || uses.notice)) {
             return;
         }
         let now = self.now;
@@ -353,12 +362,14 @@
                 expect_s: spec.estimate_s,
             });
             let least_ms = (tasks.quantile(FEASIBLE_CHANCE).exp() * 1e3) as u64;
+            let most_ms = (tasks.quantile(MOST_CHANCE).exp() * 1e3) as u64;
             let early_s = tasks.quantile(EARLY_CHANCE).exp();
             if self.learned.known.len() < ESTIMATES_KEPT {
                 let known = Known {
                     at: now,
                     tasks,
                     least_ms,
+                    most_ms,
                     early_s,
                 };
                 self.learned.known.insert(spec.id, known);
@@ -375,10 +386,23 @@
         }
     }
 
+    /// Milliseconds before it is due by which a job should start; none where jobs are not served in
+    /// that order.
+    pub(crate) fn start_before_ms(&self, job: &str) -> u64 {
+        let known = self.learned.known.get(job);
+        known
+            .filter(|_| self.settings.learned.order)
+            .map_or(0, |k| k.most_ms)
+    }
+
     /// The chance that a running attempt ends within so many milliseconds; none if too little is
     /// known.
     fn ends_within(&self, task: &TaskId, attempt: u64, ms: Millis) -> Option<f64> {
-        let begun = self.learned.begun.get(&(task.clone(), attempt))?;
+        let begun = self
+            .learned
+            .begun
+            .get(task)
+            .filter(|b| b.attempt == attempt)?;
         let known = self.learned.known.get(&task.job)?;
         if !begun.runs && self.now < begun.at + START_TAKES_MS {
             return None;
@@ -414,7 +438,9 @@
         let cache = &self.cache;
         let booked = |(task, attempt): &Attempt| cache.attempt(task, *attempt).is_some();
         let learned = &mut self.learned;
-        learned.begun.retain(|key, _| booked(key));
+        learned
+            .begun
+            .retain(|task, b| cache.attempt(task, b.attempt).is_some());
         learned.ended.retain(|key, _| booked(key));
         learned
             .carried
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -81,12 +81,20 @@
         .unwrap_or(ready_at + NO_GOAL_MS)
 }
 
+/// What is thought of run times, in milliseconds.
+pub struct RunTimes<'a> {
+    /// What a job still takes at the least.
+    pub least: &'a dyn Fn(&str, &JobSpec) -> u64,
+    /// By how much before it is due a job should start.
+    pub before_due: &'a dyn Fn(&str) -> u64,
+}
+
 /// Waiting tasks in the order in which they should be served.
 pub fn waiting(
     cache: &Cache,
     settings: &Settings,
     pulls: &HashMap<String, Pull>,
-    least_run_ms: &dyn Fn(&str, &JobSpec) -> u64,
+    runs: &RunTimes,
     wall: WallMs,
 ) -> Vec<Waiting> {
     let mut found: Vec<Waiting> = Vec::new();
@@ -154,10 +162,11 @@
                     spec,
                     ready_at,
                     pull,
-                    least_run_ms(id, spec),
+                    (runs.least)(id, spec),
                     settings,
                     wall,
-                ),
+                )
+                .saturating_sub((runs.before_due)(id)),
             },
             own_rank: spec.rank,
             indices: indices.into(),
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -170,6 +170,8 @@
 pub struct LearnedUse {
     /// Runs are observed and recorded.
     pub learn: bool,
+    /// The order in which jobs are served: by the latest start with which they are done when due.
+    pub order: bool,
     /// When jobs are due, and which goals and deadlines are out of reach.
     pub due: bool,
     /// Which tasks are stopped for others: not those about to end.
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -2,7 +2,7 @@
 
 use crate::capacity;
 use crate::constants::*;
-use crate::lookup::{self, Candidate};
+use crate::lookup::{self, Candidate, RunTimes};
 use crate::model::*;
 use crate::node::*;
 use crate::pipelines::{self, Pull};
@@ -38,7 +38,11 @@
         self.look_at_run_times();
         let least = |job: &str, spec: &JobSpec| self.least_run_ms(job, spec);
         let pulls = pipelines::pulls(&self.cache, &least);
-        let mut work = lookup::waiting(&self.cache, &self.settings, &pulls, &least, self.wall);
+        let runs = RunTimes {
+            least: &least,
+            before_due: &|job| self.start_before_ms(job),
+        };
+        let mut work = lookup::waiting(&self.cache, &self.settings, &pulls, &runs, self.wall);
         self.waiting_work = !work.is_empty();
         if work.is_empty() {
             return;
--- a/crates/core/tests/learned.rs
+++ b/crates/core/tests/learned.rs
@@ -14,6 +14,7 @@
     let mut w = World::new(seed, nodes, machines);
     w.settings.learned = LearnedUse {
         learn: true,
+        order: true,
         due: true,
         stops: true,
         notice: true,
@@ -374,3 +375,39 @@
     });
     assert_eq!(w.starts, starts + 1, "nothing was started anew");
 }
+
+#[test]
+fn of_two_jobs_due_at_once_the_longer_starts_first() {
+    for order in [false, true] {
+        let mut w = learning(13, 1, 1);
+        w.settings.learned.order = order;
+        w.capacity = 0;
+        w.class_ms.insert("long".into(), 30_000);
+        w.run(3_000);
+        let whole = |id: &str, class: &str, due: f64| JobSpec {
+            need: Room {
+                cpus: 4_000,
+                gpus: 0,
+                ram: 1_000,
+            },
+            deadline_s: Some(due),
+            ..of_class(id, 1, class)
+        };
+        for n in 1..7 {
+            for (id, class) in [(n * 10, "long"), (n * 10 + 1, "short")] {
+                let id = format!("j-{id}");
+                w.submit(0, whole(&id, class, 300.0));
+                w.until(90_000, "done", |w| w.job_phase(&id) == Some(Phase::Done));
+            }
+        }
+        // Both wait for a machine that is taken; the short one came first.
+        w.submit(0, whole("j-100", "short", 300.0));
+        w.until(20_000, "it is taken", |w| w.running("j-100") == 1);
+        w.submit(0, whole("j-101", "short", 100.0));
+        w.run(500);
+        w.submit(0, whole("j-102", "long", 100.0));
+        let either = |w: &World| w.running("j-101") + w.running("j-102") == 1;
+        w.until(30_000, "one of them runs", either);
+        assert_eq!(w.running("j-102") == 1, order);
+    }
+}
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -126,12 +126,13 @@
     };
     for what in &xml.uses {
         match what.as_str() {
+            "order" => learned.order = true,
             "due" => learned.due = true,
             "stops" => learned.stops = true,
             "notice" => learned.notice = true,
             _ => {
                 return Err(format!(
-                    "operator-settings.learned-run-times.for: must be due, stops or notice, not {what:?}"
+                    "operator-settings.learned-run-times.for: must be order, due, stops or notice, not {what:?}"
                 ))
             }
         }
@@ -454,6 +455,9 @@
         let c = config(SAMPLE, &operator(xml).unwrap()).unwrap();
         let learned = c.core.learned;
         assert!(learned.learn && learned.due && learned.notice && !learned.stops);
+        let file = include_str!("../../../deploy/learned-run-times.xml");
+        let c = config(SAMPLE, &operator(file).unwrap()).unwrap();
+        assert!(c.core.learned.learn && c.core.learned.order && c.core.learned.due);
         let none = "<operator-settings><learned-run-times/></operator-settings>";
         let c = config(SAMPLE, &operator(none).unwrap()).unwrap();
         assert!(c.core.learned.learn && !c.core.learned.due);
