--- a/crates/core/tests/learned.rs
+++ b/crates/core/tests/learned.rs
@@ -411,3 +411,24 @@
         assert_eq!(w.running("j-102") == 1, order);
     }
 }
+
+#[test]
+fn clocks_that_wander_change_no_run_time() {
+    let mut w = learning(14, 3, 6);
+    w.run(3_000);
+    for round in 0..10u64 {
+        // Within what the settings allow; runs are timed by steady clocks.
+        for n in 0..3 {
+            w.clock_ahead[n as usize] = (round * 331 + n * 457) % 1_000;
+        }
+        work(&mut w, 1 + round as u32 * 10, 2, 3, "batch");
+    }
+    w.run(90_000);
+    let history = recorded(&w, "batch").expect("on record");
+    let jobs: Vec<_> = history.jobs().iter().filter(|j| j.runs > 0).collect();
+    assert!(jobs.len() >= 10);
+    for j in jobs {
+        let secs = j.mean.exp();
+        assert!((4.2..6.2).contains(&secs), "{secs}");
+    }
+}
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1183,6 +1183,16 @@
     for seed in 0..20 {
         let mut w = settled(1_000 + seed, 3, 4);
         w.capacity = 4;
+        if seed % 2 == 1 {
+            // From its next start on each node uses learned run times, beside others that do not.
+            w.settings.learned = LearnedUse {
+                learn: true,
+                order: true,
+                due: true,
+                stops: true,
+                notice: true,
+            };
+        }
         w.mishaps = Mishaps {
             txn_answer_lost: 0.03,
             txn_late: 0.03,
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -164,6 +164,8 @@
     pub run_ms: u64,
     /// Of classes whose tasks take another time.
     pub class_ms: BTreeMap<String, u64>,
+    /// By how many milliseconds each node's time of day is ahead.
+    pub clock_ahead: Vec<u64>,
     /// Machines that take three times as long.
     pub slow: BTreeSet<String>,
     /// Of tasks that save, what they have done before, in milliseconds.
@@ -383,6 +385,7 @@
             done_tasks: BTreeSet::new(),
             run_ms: 5_000,
             class_ms: BTreeMap::new(),
+            clock_ahead: vec![0; nodes],
             slow: BTreeSet::new(),
             progress: HashMap::new(),
             mistaken: BTreeSet::new(),
@@ -861,7 +864,7 @@
     }
 
     fn node(&mut self, n: usize, event: Event) {
-        let (now, wall) = (self.now, WALL0 + self.now);
+        let (now, wall) = (self.now, WALL0 + self.now + self.clock_ahead[n]);
         if self.frozen(n) {
             self.nodes[n].backlog.push(event);
             return;
@@ -1120,7 +1123,12 @@
                     settings.learned = LearnedUse::default();
                 }
                 let seed = self.rng.gen();
-                let node = Node::new(settings, seed, self.now, WALL0 + self.now);
+                let node = Node::new(
+                    settings,
+                    seed,
+                    self.now,
+                    WALL0 + self.now + self.clock_ahead[n],
+                );
                 self.nodes[n].node = Some(node);
                 let life = self.nodes[n].life;
                 self.at(1, Act::Tick(n, life));
