Run times switched off cost nothing on the way of check-ins and changes of chunks

Found on reading the change again: with learning off, as it is by default, every check-in still copied the names of its running tasks, and every change of a chunk gathered claims and lost attempts, all thrown away. The switch is now asked first; what a chunk's change tells of runs stands in learned.rs, not in the watch. Two test set-ups that stood twice have one place each (every_use, the limits of a connections story); a closure bound twice in the Parquet writer, an unneeded stand-in for no saved progress.

Behaviour is unchanged; tests keep their assertions.

--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -91,9 +91,36 @@
         self.settings.learned.learn
     }
 
+    /// A chunk is about to change: notes claims in it, and attempts that were lost.
+    pub(crate) fn bookings_changed(&mut self, job: &str, n: u32, chunk: &ChunkRecord) {
+        if !self.learns() {
+            return;
+        }
+        let before = self.cache.claim_stamp(job, n);
+        let waits = |index: u32| {
+            let slot = index.saturating_sub(chunk.first) as usize;
+            chunk.tasks.get(slot) == Some(&TaskState::Waiting)
+        };
+        let old = self.cache.chunk(job, n).map(|c| c.booked());
+        let lost: Vec<(u32, u64)> = (old.into_iter().flatten())
+            .filter(|(index, _)| waits(*index))
+            .map(|(index, b)| (index, b.attempt))
+            .collect();
+        let task = |index| TaskId {
+            job: job.to_string(),
+            index,
+        };
+        for (index, b) in chunk.booked().filter(|(_, b)| b.attempt == before) {
+            self.claim_seen(task(index), b.attempt);
+        }
+        for (index, attempt) in lost {
+            self.interrupted(task(index), attempt);
+        }
+    }
+
     /// A booking that this node has not seen before.
-    pub(crate) fn claim_seen(&mut self, task: TaskId, attempt: u64) {
-        if self.learns() && self.learned.begun.len() < ATTEMPTS_FOLLOWED {
+    fn claim_seen(&mut self, task: TaskId, attempt: u64) {
+        if self.learned.begun.len() < ATTEMPTS_FOLLOWED {
             let at = self.now;
             let begun = Begun {
                 attempt,
@@ -110,10 +137,9 @@
 
     /// A task that saves its progress lost its attempt: unless this node knows how far it came, its
     /// next run says only that it takes longer.
-    pub(crate) fn interrupted(&mut self, task: TaskId, attempt: u64) {
+    fn interrupted(&mut self, task: TaskId, attempt: u64) {
         let open = self.cache.open_job(&task.job);
-        if !self.learns()
-            || open.is_none_or(|s| s.checkpoint_s <= 0.0)
+        if open.is_none_or(|s| s.checkpoint_s <= 0.0)
             || self.learned.carried.len() >= ATTEMPTS_FOLLOWED
         {
             return;
@@ -128,11 +154,8 @@
         }
     }
 
-    /// A report shows an attempt running.
+    /// A report shows an attempt running. Asked only where run times are learned.
     pub(crate) fn seen_running(&mut self, task: &TaskId, attempt: u64, report: &Report) {
-        if !self.learns() {
-            return;
-        }
         let recent = self.settings.report_due_ms() + SILENCE_SPARE_MS;
         let before = self.learned.reported.get(&report.machine);
         let exact = before.is_some_and(|(s, at)| *s == report.session && self.now < at + recent);
@@ -161,10 +184,13 @@
         }
     }
 
-    /// An attempt's end was heard here. `by` is when it was, for one that vanished.
+    /// An attempt's end was heard here.
     pub(crate) fn run_ended(&mut self, task: &TaskId, attempt: u64, outcome: Outcome) {
+        if !self.learns() {
+            return;
+        }
         let key = (task.clone(), attempt);
-        if !self.learns() || self.learned.ended.contains_key(&key) {
+        if self.learned.ended.contains_key(&key) {
             return;
         }
         let begun = self.learned.begun.get(task).copied();
@@ -184,14 +210,8 @@
         };
         let own = until.saturating_sub(begun.at) as f64 / 1e3;
         let saves = spec.checkpoint_s > 0.0;
-        let none = Carried {
-            attempt: 0,
-            secs: Some(0.0),
-        };
-        let before = match saves {
-            true => self.learned.carried.get(task).copied().unwrap_or(none).secs,
-            false => Some(0.0),
-        };
+        let carried = self.learned.carried.get(task).filter(|_| saves);
+        let before = carried.map_or(Some(0.0), |c| c.secs);
         let exact = begun.exact && before.is_some();
         let secs = own + before.unwrap_or(0.0);
         let end = match outcome {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -161,6 +161,7 @@
             .collect();
         let mut ended: Vec<((TaskId, u64), Outcome, Option<Travel>)> = Vec::new();
         let mut saves: Vec<(TaskId, u64)> = Vec::new();
+        let learns = self.settings.learned.learn;
         let mut running: Vec<(TaskId, u64)> = Vec::new();
         let mut above = None;
         let mut arm = false;
@@ -178,7 +179,9 @@
             };
             if phase == Some(TaskPhase::Running) {
                 self.stats.runs(task, b.attempt, self.now);
-                running.push((task.clone(), b.attempt));
+                if learns {
+                    running.push((task.clone(), b.attempt));
+                }
             }
             let key = (task.clone(), b.attempt);
             if b.direct.is_some() {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -133,32 +133,12 @@
                 }
                 if let (Key::Chunk(job, n), Record::Chunk(chunk)) = (&key, &record) {
                     let before = self.cache.claim_stamp(job, *n);
-                    let mut claimed = Vec::new();
-                    for (index, b) in chunk.booked() {
+                    for (_, b) in chunk.booked() {
                         if b.attempt == before {
                             self.used_at.insert(b.machine.clone(), self.now);
-                            claimed.push((index, b.attempt));
                         }
                     }
-                    let old = self.cache.chunk(job, *n).map(|c| c.booked());
-                    let waits = |index: u32| {
-                        let slot = index.saturating_sub(chunk.first) as usize;
-                        chunk.tasks.get(slot) == Some(&TaskState::Waiting)
-                    };
-                    let lost: Vec<(u32, u64)> = (old.into_iter().flatten())
-                        .filter(|(index, _)| waits(*index))
-                        .map(|(index, b)| (index, b.attempt))
-                        .collect();
-                    let task = |index| TaskId {
-                        job: job.clone(),
-                        index,
-                    };
-                    for (index, attempt) in claimed {
-                        self.claim_seen(task(index), attempt);
-                    }
-                    for (index, attempt) in lost {
-                        self.interrupted(task(index), attempt);
-                    }
+                    self.bookings_changed(job, *n, chunk);
                 }
                 let learned = match &key {
                     Key::Runs(class) => Some(*class),
--- a/crates/core/tests/learned.rs
+++ b/crates/core/tests/learned.rs
@@ -12,13 +12,7 @@
 
 fn learning(seed: u64, nodes: usize, machines: usize) -> World {
     let mut w = World::new(seed, nodes, machines);
-    w.settings.learned = LearnedUse {
-        learn: true,
-        order: true,
-        due: true,
-        stops: true,
-        notice: true,
-    };
+    w.settings.learned = every_use();
     w
 }
 
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1185,13 +1185,7 @@
         w.capacity = 4;
         if seed % 2 == 1 {
             // From its next start on each node uses learned run times, beside others that do not.
-            w.settings.learned = LearnedUse {
-                learn: true,
-                order: true,
-                due: true,
-                stops: true,
-                notice: true,
-            };
+            w.settings.learned = every_use();
         }
         w.mishaps = Mishaps {
             txn_answer_lost: 0.03,
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -189,6 +189,17 @@
     pub lost_starts: u32,
 }
 
+/// Run times learned, and used for all that they can be.
+pub fn every_use() -> LearnedUse {
+    LearnedUse {
+        learn: true,
+        order: true,
+        due: true,
+        stops: true,
+        notice: true,
+    }
+}
+
 pub fn settings(node: &str, count: usize) -> Settings {
     let mut teams = BTreeMap::new();
     for (name, max) in [("blue", 12_000), ("red", 0)] {
--- a/crates/ctl/src/file.rs
+++ b/crates/ctl/src/file.rs
@@ -147,7 +147,7 @@
         if rows.is_empty() {
             return Ok(());
         }
-        let write = || -> Result<(), parquet::errors::ParquetError> {
+        let mut write = || -> Result<(), parquet::errors::ParquetError> {
             let mut group = self.out.next_row_group()?;
             let text = |of: fn(&Row) -> &str| -> Vec<ByteArray> {
                 rows.iter().map(|r| ByteArray::from(of(r))).collect()
@@ -218,7 +218,6 @@
             group.close()?;
             Ok(())
         };
-        let mut write = write;
         write().map_err(failed("can't write"))?;
         self.written += rows.len() as u64;
         Ok(())
--- a/crates/glenmount/src/connections.rs
+++ b/crates/glenmount/src/connections.rs
@@ -355,9 +355,14 @@
     }
 
     fn story<F: std::future::Future<Output = ()>>(
-        limits: Limits,
+        [all, users, workers]: [usize; 3],
         tell: impl FnOnce(SocketAddr) -> F,
     ) {
+        let limits = Limits {
+            all,
+            users,
+            workers,
+        };
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -381,12 +386,7 @@
 
     #[test]
     fn a_flood_of_users_closes_the_idlest_of_them_and_no_worker() {
-        let limits = Limits {
-            all: 12,
-            users: 4,
-            workers: 6,
-        };
-        story(limits, |addr| async move {
+        story([12, 4, 6], |addr| async move {
             let mut workers = Vec::new();
             for _ in 0..3 {
                 workers.push(asked(addr, "/checkin").await);
@@ -406,12 +406,7 @@
 
     #[test]
     fn one_that_waits_for_its_answer_is_never_closed_under_it() {
-        let limits = Limits {
-            all: 6,
-            users: 3,
-            workers: 3,
-        };
-        story(limits, |addr| async move {
+        story([6, 3, 3], |addr| async move {
             let slow = tokio::task::spawn_local(async move {
                 let mut u = TcpStream::connect(addr).await.unwrap();
                 ask(&mut u, "/v2/runs/slow").await
@@ -426,12 +421,7 @@
 
     #[test]
     fn connections_that_ask_nothing_make_room_for_those_that_do() {
-        let limits = Limits {
-            all: 5,
-            users: 4,
-            workers: 4,
-        };
-        story(limits, |addr| async move {
+        story([5, 4, 4], |addr| async move {
             let mut silent = Vec::new();
             for _ in 0..5 {
                 silent.push(TcpStream::connect(addr).await.unwrap());
