--- a/crates/glenmount/src/cloud.rs
+++ b/crates/glenmount/src/cloud.rs
@@ -82,7 +82,7 @@
 
 pub fn client(http: Http, rps: f64, core: mpsc::Sender<Event>) -> mpsc::Sender<(Token, CloudOp)> {
     let (jobs_in, mut jobs) = mpsc::channel::<(Token, CloudOp)>(LINE);
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         let mut budget = Budget::new(rps, 2.0);
         while let Some((token, op)) = jobs.recv().await {
             let pause = budget.wait(1.0);
@@ -91,7 +91,7 @@
             }
             budget.take(1.0);
             let (http, core) = (http.clone(), core.clone());
-            tokio::task::spawn_local(async move {
+            tokio::spawn(async move {
                 let answer = execute(&http, &op).await;
                 if answer == CloudAnswer::Failed {
                     tracing::debug!(?op, "the cloud did not do it");
--- a/crates/glenmount/src/connections.rs
+++ b/crates/glenmount/src/connections.rs
@@ -176,7 +176,7 @@
     S::Future: Send + 'static,
 {
     let listener = TcpListener::bind(addr).await?;
-    tokio::task::spawn_local(accept(listener, limits, service));
+    tokio::spawn(accept(listener, limits, service));
     Ok(())
 }
 
@@ -241,7 +241,7 @@
                     counts: book.counts.clone(),
                     news: news_in.clone(),
                 };
-                tokio::task::spawn_local(served.serve(stream, service.clone()));
+                tokio::spawn(served.serve(stream, service.clone()));
                 next += 1;
             }
         }
@@ -367,8 +367,7 @@
             .enable_all()
             .build()
             .unwrap();
-        let local = tokio::task::LocalSet::new();
-        local.block_on(&runtime, async {
+        runtime.block_on(async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let addr = listener.local_addr().unwrap();
             let service = hyper::service::service_fn(|request: Request<Body>| async move {
@@ -377,7 +376,7 @@
                 }
                 Ok::<_, std::convert::Infallible>(Response::new(Body::from("ok")))
             });
-            tokio::task::spawn_local(accept(listener, limits, service));
+            tokio::spawn(accept(listener, limits, service));
             timeout(Duration::from_secs(20), tell(addr))
                 .await
                 .expect("in time");
@@ -407,7 +406,7 @@
     #[test]
     fn one_that_waits_for_its_answer_is_never_closed_under_it() {
         story([6, 3, 3], |addr| async move {
-            let slow = tokio::task::spawn_local(async move {
+            let slow = tokio::spawn(async move {
                 let mut u = TcpStream::connect(addr).await.unwrap();
                 ask(&mut u, "/v2/runs/slow").await
             });
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -107,8 +107,10 @@
             return ExitCode::FAILURE;
         }
     };
-    let local = tokio::task::LocalSet::new();
-    match local.block_on(&runtime, run(config)) {
+    // As a task, and not as what the runtime blocks on: that one is woken from outside the run, which
+    // cost a look at the sockets more for every event.
+    let ended = runtime.block_on(async { tokio::spawn(run(config)).await });
+    match ended.unwrap_or_else(|error| Err(error.to_string())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             tracing::error!(error, "ended");
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -5,10 +5,9 @@
 use glenmount_core::node::{Beat, Event, Said};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::Deserialize;
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -27,7 +26,7 @@
 
 /// Links by which each sibling tells its beats: its end shows when the last of them ends.
 #[derive(Clone, Default)]
-struct Links(Rc<RefCell<HashMap<String, usize>>>);
+struct Links(Arc<Mutex<HashMap<String, usize>>>);
 
 /// One link, from the first beat on that named its sibling.
 struct Link {
@@ -36,8 +35,11 @@
 }
 
 impl Links {
+    fn all(&self) -> MutexGuard<'_, HashMap<String, usize>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
     fn begins(&self, node: &str) -> Link {
-        *self.0.borrow_mut().entry(node.to_string()).or_default() += 1;
+        *self.all().entry(node.to_string()).or_default() += 1;
         Link {
             links: self.clone(),
             node: node.to_string(),
@@ -48,7 +50,7 @@
 impl Link {
     /// The sibling, if this was its last link.
     fn ends(self) -> Option<String> {
-        let mut links = self.links.0.borrow_mut();
+        let mut links = self.links.all();
         let left = links.get_mut(&self.node)?;
         *left -= 1;
         if *left > 0 {
@@ -63,7 +65,7 @@
 pub fn listen(listener: TcpListener, core: mpsc::Sender<Event>) {
     let links = Links::default();
     let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(CONNECTIONS));
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(Duration::from_millis(100)).await;
@@ -73,7 +75,7 @@
                 continue;
             };
             let (core, links) = (core.clone(), links.clone());
-            tokio::task::spawn_local(async move {
+            tokio::spawn(async move {
                 let _slot = slot;
                 let mut link = None;
                 if let Err(error) = receive(stream, &core, &links, &mut link).await {
@@ -189,7 +191,7 @@
 
 /// Keeps sending the latest beat to a sibling. Beats that could not be sent are skipped.
 pub fn tell(addr: SocketAddr, mut beats: watch::Receiver<Beat>) {
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         loop {
             let connected = timeout(PATIENCE, TcpStream::connect(addr)).await;
             if let Ok(Ok(mut stream)) = connected {
@@ -279,7 +281,6 @@
     /// A sibling that stood still was not heard again by those that had closed its connections.
     #[tokio::test(flavor = "current_thread")]
     async fn a_beat_follows_the_sibling_to_a_new_connection() {
-        let local = tokio::task::LocalSet::new();
         let story = async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (beat_in, beats) = watch::channel(Beat::default());
@@ -287,7 +288,7 @@
             let (first, _) = listener.accept().await.unwrap();
             let (core, mut events) = mpsc::channel(8);
             beat_in.send(beat("a")).unwrap();
-            tokio::task::spawn_local(async move {
+            tokio::spawn(async move {
                 let mut first = first;
                 let len = first.read_u32().await.unwrap();
                 first.read_exact(&mut vec![0; len as usize]).await.unwrap();
@@ -298,7 +299,7 @@
             let heard = events.recv().await;
             assert!(matches!(heard, Some(Event::Beat(b)) if b.node == "b"));
         };
-        timeout(Duration::from_secs(5), local.run_until(story))
+        timeout(Duration::from_secs(5), story)
             .await
             .expect("the beat arrives");
     }
@@ -307,7 +308,6 @@
     /// only connects anew is not.
     #[tokio::test(flavor = "current_thread")]
     async fn the_end_of_a_siblings_last_link_is_told() {
-        let local = tokio::task::LocalSet::new();
         let story = async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let addr = listener.local_addr().unwrap();
@@ -332,7 +332,7 @@
             let ended = events.recv().await;
             assert!(matches!(ended, Some(Event::LinkEnded { node }) if node == "a"));
         };
-        timeout(Duration::from_secs(5), local.run_until(story))
+        timeout(Duration::from_secs(5), story)
             .await
             .expect("the end is told");
     }
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::collections::VecDeque;
-use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, Duration, Instant};
 
@@ -184,15 +184,15 @@
     let (jobs_in, mut jobs) = mpsc::channel::<Job>(LINE);
     let (inner_in, mut inner) = mpsc::unbounded_channel::<Message>();
     let forward = inner_in.clone();
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         while let Some(job) = jobs.recv().await {
             if forward.send(Message::Do(job)).is_err() {
                 break;
             }
         }
     });
-    tokio::task::spawn_local(async move {
-        let http = Rc::new(http);
+    tokio::spawn(async move {
+        let http = Arc::new(http);
         let mut requests = Budget::new(rps, 0.9);
         let mut writes = Budget::new(write_rps, 0.9);
         let mut lines: [VecDeque<Job>; 4] = Default::default();
@@ -249,7 +249,7 @@
                 writes.take(puts);
                 in_flight += 1;
                 let (http, core, inner_in) = (http.clone(), core.clone(), inner_in.clone());
-                tokio::task::spawn_local(async move {
+                tokio::spawn(async move {
                     match execute(&http, &job.op).await {
                         Some(answer) => {
                             let token = job.token;
@@ -286,7 +286,7 @@
 /// Follows all changes; a revision sent to the returned channel opens the watch anew.
 pub fn watch(http: Http, core: mpsc::Sender<Event>) -> mpsc::Sender<u64> {
     let (restart_in, mut restart) = mpsc::channel::<u64>(16);
-    tokio::task::spawn_local(async move {
+    tokio::spawn(async move {
         let Some(mut since) = restart.recv().await else {
             return;
         };
--- a/crates/glenmount/src/workers.rs
+++ b/crates/glenmount/src/workers.rs
@@ -67,7 +67,7 @@
         };
         let http = self.http.clone();
         let since = Instant::now();
-        tokio::task::spawn_local(async move {
+        tokio::spawn(async move {
             // Machines that don't answer hold their slots for a while; a command that finds
             // none free says nothing of its own machine.
             let slot = timeout(TIMEOUT, slots.acquire_owned()).await;
--- a/crates/xtask/src/lib.rs
+++ b/crates/xtask/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod base;
 pub mod experiment;
 pub mod journal;
+pub mod larger;
 pub mod sets;
 pub mod verdict;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -7,6 +7,7 @@
 use xtask::base::Base;
 use xtask::experiment;
 use xtask::journal::{self, Entry, Read};
+use xtask::larger;
 use xtask::sets::Set;
 use xtask::verdict::{rows, table, Row, TABLE};
 
@@ -77,6 +78,17 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Writes a site with more machines, jobs and processors than the users' file has, limits as they are
+    Larger {
+        /// The users' site files
+        #[arg(required = true)]
+        sites: Vec<PathBuf>,
+        #[arg(long, default_value_t = 1.5)]
+        factor: f64,
+        /// A folder outside the repository
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Makes these entries the base: the commit of it names them
     Base {
         #[arg(required = true)]
@@ -104,6 +116,12 @@
             println!("{}: {} entries", args.base.display(), base.entries.len());
             Ok(true)
         }
+        Verb::Larger { sites, factor, out } => {
+            for site in sites {
+                println!("{}", larger::write(&site, factor, &out)?.display());
+            }
+            Ok(true)
+        }
         Verb::Experiment {
             files,
             seeds,
