Machines are judged in one walk, from one entry each; events that leave nothing to record cost nothing

Change: signs.rs owns what is noted of each machine (seven maps before, one entry now; Node has 90 fields, 96 before), silence::survey walks once; maps of the core hash by foldhash; flush ends early where nothing waits; the signal is awaited by a task of its own.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -5,7 +5,8 @@
 use crate::lookup::Waiting;
 use crate::model::*;
 use crate::records::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use foldhash::HashMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that could be rented, or one that is on its way.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -11,13 +11,14 @@
 use crate::model::*;
 use crate::node::*;
 use crate::records::*;
+use foldhash::HashMap;
 use glenmount_runtimes::book::{class_id, About, Book, ClassId};
 use glenmount_runtimes::constants::{CLASSES_KEPT, NAME_BYTES};
 use glenmount_runtimes::history::{Batch, History};
 use glenmount_runtimes::machines::Machines;
 use glenmount_runtimes::mixture::Mixture;
 use glenmount_runtimes::{End, Run};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 type Attempt = (TaskId, u64);
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod records;
 mod rentals;
 mod results;
+mod signs;
 mod silence;
 pub mod standby;
 mod starts;
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -10,7 +10,8 @@
 use crate::pipelines::{self, Pull};
 use crate::records::*;
 use crate::turns;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use foldhash::{HashMap, HashMapExt};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What decides where a task fits. Jobs whose zones depend on their own other tasks form
 /// sets of their own.
--- a/crates/core/src/lost.rs
+++ b/crates/core/src/lost.rs
@@ -9,7 +9,8 @@
 use crate::pipelines;
 use crate::records::*;
 use crate::zones::{self, Holding, Kind, Lost, Why};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use foldhash::{HashMap, HashMapExt};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Machines alike in what jobs ask of them.
 struct Place {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -9,9 +9,12 @@
 use crate::node::*;
 use crate::records::*;
 use crate::results::{Ended, Travel};
-use crate::standby::Sibling;
+use crate::signs::OfMachine;
+use crate::silence::Survey;
+use crate::standby::{Sibling, Told};
+use foldhash::HashMap;
 use rand::seq::SliceRandom;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A check-in that waits for its answer: for the records to be read after a start, or for a
 /// start to be recorded that its answer shall carry.
@@ -376,10 +379,8 @@
     /// How a start gets from here to a machine: by a direct command, unless the last one
     /// failed; then by the answer to a check-in.
     pub(crate) fn carrier(&self, id: &str, m: &MachineRecord) -> Carrier {
-        let failed = self
-            .command_failed
-            .get(id)
-            .is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
+        let refused = self.signs.of(id).refused;
+        let failed = refused.is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
         let session = self.latest_session(id);
         let token = self.cache.term().map(|term| term + m.raised);
         match (token, session) {
@@ -686,22 +687,22 @@
         match reach {
             Reach::Took | Reach::Refused => {
                 self.heard_worker();
-                self.answered.insert(machine.clone(), self.now);
+                self.signs.note(&machine).answered = Some(self.now);
             }
             Reach::Silent => {
                 let zone = self.cache.machine(&machine).map(|m| &m.zone);
                 if !zone.is_some_and(|z| self.zone_quiet(z)) {
                     self.hearing.unanswered();
                 }
-                self.unreached.insert(machine.clone(), self.now);
+                self.signs.note(&machine).unreached = Some(self.now);
             }
             Reach::NotSent => {
-                self.asked_at.remove(&machine);
+                self.signs.note(&machine).asked = None;
             }
         }
         if reach != Reach::Took {
             tracing::debug!(machine, ?reach, "direct command failed");
-            self.command_failed.insert(machine, self.now);
+            self.signs.note(&machine).refused = Some(self.now);
         }
     }
 
@@ -709,10 +710,14 @@
     /// has just come up may have reported to a sibling whose next beat is still to come, so
     /// this counts from when it was first seen up here.
     pub(crate) fn heard_at(&self, id: &str) -> Millis {
-        let seen = self.up_since.get(id).copied().unwrap_or(self.now);
-        let own = self.heard.get(id).map_or(seen, |h| h.at.max(seen));
-        let told = self.standby.told(id).map_or(0, |t| t.at);
-        own.max(told)
+        let (own, told) = (self.heard.get(id), self.standby.told(id));
+        self.heard_at_of(own, told, &self.signs.of(id))
+    }
+
+    fn heard_at_of(&self, own: Option<&Heard>, told: Option<&Told>, of: &OfMachine) -> Millis {
+        let seen = of.up.unwrap_or(self.now);
+        let own = own.map_or(seen, |h| h.at.max(seen));
+        own.max(told.map_or(0, |t| t.at))
     }
 
     /// When any node last got a check-in of it, if ever.
@@ -724,61 +729,52 @@
     /// Milliseconds without a sign of life of a machine: a check-in anywhere, or an answer to
     /// a direct command.
     fn silence(&self, id: &str) -> Millis {
-        let answered = self.answered.get(id).copied().unwrap_or(0);
-        self.now - self.heard_at(id).max(answered)
-    }
-
-    /// Whether a machine that reported here is quickly given up: its check-in is overdue, a
-    /// direct command sent since has failed, and other machines that report here do so. A
-    /// worker only turns to another node when this one fails it, so there is no need to
-    /// wait for that. Were most of them silent, this node would be what is cut off.
-    fn overdue_here(&self, quick: Millis) -> Vec<String> {
-        let here: Vec<(&str, Millis)> = self
-            .cache
-            .machines()
-            .filter(|(_, m, _)| m.is_up())
-            .filter_map(|(id, _, _)| Some((id, self.heard.get(id)?)))
-            .filter(|(id, h)| h.at >= self.woke && !self.newer_elsewhere(id, h))
-            .map(|(id, h)| (id, self.now - h.at))
-            .collect();
-        let late: Vec<String> = here
-            .iter()
-            .filter(|(_, age)| *age > quick)
-            .map(|(id, _)| id.to_string())
-            .collect();
-        match late.len() * 3 <= here.len() {
-            true => late,
-            false => Vec::new(),
+        let (own, told) = (self.heard.get(id), self.standby.told(id));
+        self.silence_of(own, told, &self.signs.of(id))
+    }
+
+    pub(crate) fn silence_of(
+        &self,
+        own: Option<&Heard>,
+        told: Option<&Told>,
+        of: &OfMachine,
+    ) -> Millis {
+        let answered = of.answered.unwrap_or(0);
+        self.now - self.heard_at_of(own, told, of).max(answered)
+    }
+
+    /// Milliseconds in which a worker finds another node: whichever a machine reported to, it is
+    /// asked directly after that.
+    pub(crate) fn unheard_limit(&self) -> Millis {
+        self.move_time() + SILENCE_SPARE_MS
+    }
+
+    /// Machines that are overdue, and whether each is given up when a question to it fails.
+    ///
+    /// One that reported here is quickly given up: its check-in is overdue, a direct command sent
+    /// since has failed, and other machines that report here do so. A worker only turns to another
+    /// node when this one fails it, so there is no need to wait for that. Were most of them silent,
+    /// this node would be what is cut off.
+    ///
+    /// One that no node is known to have heard for as long as a worker needs to find another is not
+    /// given up soon if they are many, since then it is rather the network. When siblings can't be
+    /// reached, most machines are only heard by them; their answers tell those that live from those
+    /// that don't.
+    fn overdue(&self, survey: Survey) -> BTreeMap<String, bool> {
+        let mut overdue = BTreeMap::new();
+        let limit = self.unheard_limit();
+        if self.now - self.woke >= limit + self.settings.report_ms {
+            let patience = match survey.unheard.len() * 3 <= survey.up {
+                true => limit,
+                false => limit.max(self.settings.lease_ms) * SILENCE_DOUBT,
+            };
+            let given_up = |(id, silence)| (id, silence > patience);
+            overdue.extend(survey.unheard.into_iter().map(given_up));
         }
-    }
-
-    /// Machines that no node is known to have heard for as long as a worker needs to find
-    /// another: whichever they reported to, they are asked directly. Says of each whether it is
-    /// given up when that fails: not soon if they are many, since then it is rather the
-    /// network. When siblings can't be reached, most machines are only heard by them; their
-    /// answers tell those that live from those that don't.
-    fn unheard_by_all(&self) -> Vec<(String, bool)> {
-        let limit = self.move_time() + SILENCE_SPARE_MS;
-        if self.now - self.woke < limit + self.settings.report_ms {
-            return Vec::new();
+        if survey.late_here.len() * 3 <= survey.here {
+            overdue.extend(survey.late_here.into_iter().map(|id| (id, true)));
         }
-        let (mut ups, mut late) = (0, Vec::new());
-        for (id, m, _) in self.cache.machines() {
-            if m.is_up() {
-                ups += 1;
-                let silence = self.silence(id);
-                if silence > limit {
-                    late.push((id.to_string(), silence));
-                }
-            }
-        }
-        let patience = match late.len() * 3 <= ups {
-            true => limit,
-            false => limit.max(self.settings.lease_ms) * SILENCE_DOUBT,
-        };
-        late.into_iter()
-            .map(|(id, silence)| (id, silence > patience))
-            .collect()
+        overdue
     }
 
     fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
@@ -803,25 +799,23 @@
     /// Finds machines to delete: silent ones, ones that never came up, idle ones, and ones
     /// that still hold a cancelled task when its time runs out.
     pub(crate) fn judge_machines(&mut self) {
-        self.judge_zones();
+        let mut survey = self.survey();
+        self.judge_zones(std::mem::take(&mut survey.zones));
         let overdue_ms = self.settings.report_due_ms() + PROBE_AFTER_MS;
         let mut asked_quiet: BTreeMap<String, usize> = BTreeMap::new();
-        let mut overdue: BTreeMap<String, bool> = self.unheard_by_all().into_iter().collect();
-        for id in self.overdue_here(overdue_ms) {
-            overdue.insert(id, true);
-        }
-        let mut overdue: Vec<(String, bool)> = overdue.into_iter().collect();
+        let mut overdue: Vec<(String, bool)> = self.overdue(survey).into_iter().collect();
         // Of a silent zone only a few are asked, each time others.
         overdue.shuffle(&mut self.rng);
         for (id, given_up) in overdue {
             let zone = self.cache.machine(&id).map_or("", |m| m.zone.as_str());
             let zone = zone.to_string();
-            let asked = self.asked_at.get(&id).copied();
+            let OfMachine {
+                asked, unreached, ..
+            } = self.signs.of(&id);
             let heard = self.now - self.silence(&id);
-            let failed = self.unreached.get(&id).copied();
-            let failed =
-                failed.is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS);
-            let failed_at = self.unreached.get(&id).copied().unwrap_or(0);
+            let failed = unreached
+                .is_some_and(|at| at > heard + overdue_ms && self.now < at + PROBE_FRESH_MS);
+            let failed_at = unreached.unwrap_or(0);
             let silent = failed && given_up && !self.may_be_cut_off(failed_at);
             if silent && self.silent_alone(&zone, failed_at) {
                 self.condemn(&id, "silent, and not reached directly");
@@ -835,7 +829,7 @@
                     }
                     *asked += 1;
                 }
-                self.asked_at.insert(id.clone(), self.now);
+                self.signs.note(&id).asked = Some(self.now);
                 // No orders: only whether it answers.
                 self.command_now(id, Vec::new());
             }
@@ -859,16 +853,12 @@
             }
         }
         for (id, m, _) in self.cache.machines() {
-            if !self.known_since.contains_key(id) {
-                self.known_since.insert(id.to_string(), self.now);
-            }
-            let since = self.known_since.get(id).copied().unwrap_or(self.now);
+            let of = self.signs.note(id);
+            let since = *of.known.get_or_insert(self.now);
             if m.is_up() {
-                if !self.up_since.contains_key(id) {
-                    self.up_since.insert(id.to_string(), self.now);
-                }
+                of.up.get_or_insert(self.now);
                 if self.cache.booked_tasks(id) == 0 {
-                    let idle = *self.idle_since.entry(id.to_string()).or_insert(self.now);
+                    let idle = *of.idle.get_or_insert(self.now);
                     let keep = match m.phase {
                         MachinePhase::Draining => 0,
                         _ => {
@@ -880,7 +870,7 @@
                         condemned.push((id.to_string(), "nothing to do"));
                     }
                 } else {
-                    self.idle_since.remove(id);
+                    of.idle = None;
                 }
             }
             if m.phase == MachinePhase::Booting
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -13,17 +13,19 @@
 use crate::moves::Moves;
 use crate::records::*;
 use crate::results::Ended;
+use crate::signs::Signs;
 use crate::standby::{Sibling, Standby};
 use crate::starts::Starts;
 use crate::state::Reading;
 use crate::stats::Stats;
 use crate::zones::Zones;
+use foldhash::{HashMap, HashMapExt, HashSet};
 use glenmount_runtimes::book::ClassId;
 use glenmount_runtimes::history::Batch;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Names a request that waits for an answer outside the core.
 pub type RequestId = u64;
@@ -378,6 +380,7 @@
     pub(crate) types_busy: bool,
     pub(crate) held: BTreeMap<String, Held>,
     pub(crate) heard: HashMap<String, Heard>,
+    pub(crate) signs: Signs,
     pub(crate) standby: Standby,
     pub(crate) starts: Starts,
     /// Since when it has been asked to end.
@@ -414,24 +417,12 @@
     pub(crate) tidying: BTreeSet<u64>,
     /// Rental requests whose answer is awaited.
     pub(crate) hires_asked: BTreeSet<u64>,
-    pub(crate) idle_since: HashMap<String, Millis>,
-    pub(crate) known_since: HashMap<String, Millis>,
-    /// When each machine was first seen up here.
-    pub(crate) up_since: HashMap<String, Millis>,
     pub(crate) deleted: BTreeSet<String>,
     pub(crate) delete_tried: HashMap<String, Millis>,
     pub(crate) delete_busy: bool,
     /// Listed machines that no record names, and when they were first seen.
     pub(crate) strange: HashMap<String, Millis>,
     pub(crate) hire_tried: HashMap<u64, Millis>,
-    /// Machines that did not take a direct command, and when.
-    pub(crate) command_failed: HashMap<String, Millis>,
-    /// Machines that did not even answer one.
-    pub(crate) unreached: HashMap<String, Millis>,
-    /// Machines whose check-ins were overdue and that were asked directly, and when.
-    pub(crate) asked_at: HashMap<String, Millis>,
-    /// Machines that answered a direct command, and when.
-    pub(crate) answered: HashMap<String, Millis>,
     pub(crate) hire_busy: bool,
     pub(crate) finishing: BTreeSet<String>,
     // Pipelines and formats
@@ -516,6 +507,7 @@
             types_busy: false,
             held: BTreeMap::new(),
             heard: HashMap::new(),
+            signs: Signs::new(),
             standby,
             starts: Starts::default(),
             leaving: None,
@@ -540,16 +532,9 @@
             hire_since: HashMap::new(),
             tidying: BTreeSet::new(),
             hires_asked: BTreeSet::new(),
-            idle_since: HashMap::new(),
-            known_since: HashMap::new(),
-            up_since: HashMap::new(),
             deleted: BTreeSet::new(),
             delete_tried: HashMap::new(),
             hire_tried: HashMap::new(),
-            command_failed: HashMap::new(),
-            unreached: HashMap::new(),
-            asked_at: HashMap::new(),
-            answered: HashMap::new(),
             delete_busy: false,
             strange: HashMap::new(),
             hire_busy: false,
@@ -646,10 +631,7 @@
         self.condemned.clear();
         self.seen.clear();
         self.saves.clear();
-        self.up_since.clear();
-        self.idle_since.clear();
-        self.asked_at.clear();
-        self.unreached.clear();
+        self.signs.wake();
         self.starts.wake();
         self.strange.clear();
         self.zones.wake();
--- a/crates/core/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -7,7 +7,8 @@
 use crate::constants::*;
 use crate::model::*;
 use crate::records::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use foldhash::{HashMap, HashMapExt};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Open jobs by the jobs that they await, and those that need a cancelled one.
 #[derive(Debug, Default)]
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -10,8 +10,9 @@
 use crate::pipelines::{self, Pull};
 use crate::preempt;
 use crate::records::*;
+use foldhash::HashMap;
 use rand::Rng;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 impl Node {
     /// Whether a lookup is wanted and nothing but a turn to write is lacking for it.
@@ -358,9 +359,8 @@
         } else if under_way == 0 && self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
             let now = self.now;
             let old = |id: &str| {
-                self.up_since
-                    .get(id)
-                    .is_some_and(|at| now >= at + DISPENSABLE_AFTER_MS)
+                let up = self.signs.of(id).up;
+                up.is_some_and(|at| now >= at + DISPENSABLE_AFTER_MS)
             };
             for id in capacity::dispensable(&self.cache, &self.types, old, most) {
                 let Some(mut machine) = draft.machine(&id) else {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -6,7 +6,8 @@
 use crate::lookup::Waiting;
 use crate::model::*;
 use crate::records::*;
-use std::collections::{BTreeMap, HashMap};
+use foldhash::HashMap;
+use std::collections::BTreeMap;
 
 /// A machine as it will be once the stops under way have taken effect.
 struct Coming<'a> {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -4,9 +4,10 @@
 use crate::formats::{self, CompactChunk, FormatRecord};
 use crate::model::*;
 use crate::pipelines::Dependents;
+use foldhash::HashMap;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// All keys of the project stand under this prefix; one watch follows them all.
 pub const PREFIX: &str = "g/";
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -40,6 +40,16 @@
         if left < self.writes_least() || self.lookup_next && self.lookup_due() {
             return;
         }
+        // Most events leave nothing to record: none of the below would draft anything.
+        if self.results.is_empty()
+            && self.saves.is_empty()
+            && self.seen.is_empty()
+            && self.condemned.is_empty()
+            && self.held.is_empty()
+            && self.deleted.is_empty()
+        {
+            return;
+        }
         self.take_deleted();
         let cache = &self.cache;
         self.results.retain(|(task, at), ended| {
--- /dev/null
+++ b/crates/core/src/signs.rs
@@ -0,0 +1,98 @@
+//! What this node itself has noted of each machine, beside its check-ins: one entry a machine, since
+//! it is looked at several times a second for every one of them.
+
+use crate::model::Millis;
+use foldhash::{HashMap, HashMapExt};
+
+/// Times at which something was noted of a machine, where it was.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OfMachine {
+    /// It was first seen on record.
+    pub known: Option<Millis>,
+    /// It was first seen up here.
+    pub up: Option<Millis>,
+    /// Nothing has been booked on it since.
+    pub idle: Option<Millis>,
+    /// It answered a direct command.
+    pub answered: Option<Millis>,
+    /// It did not take a direct command.
+    pub refused: Option<Millis>,
+    /// It did not even answer one.
+    pub unreached: Option<Millis>,
+    /// Its check-in was overdue, and it was asked directly.
+    pub asked: Option<Millis>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Signs {
+    machines: HashMap<String, OfMachine>,
+}
+
+impl Signs {
+    pub fn new() -> Signs {
+        Signs {
+            machines: HashMap::new(),
+        }
+    }
+
+    pub fn of(&self, id: &str) -> OfMachine {
+        self.machines.get(id).copied().unwrap_or_default()
+    }
+
+    /// To note something of a machine. What is not on record is forgotten soon (`forget`).
+    pub fn note(&mut self, id: &str) -> &mut OfMachine {
+        // Names are only copied for machines that are new.
+        if !self.machines.contains_key(id) {
+            self.machines.insert(id.to_string(), OfMachine::default());
+        }
+        self.machines.get_mut(id).expect("just put there")
+    }
+
+    /// After standing still: what gave reason to act on machines dates from before.
+    pub fn wake(&mut self) {
+        for of in self.machines.values_mut() {
+            (of.up, of.idle, of.asked, of.unreached) = (None, None, None, None);
+        }
+    }
+
+    pub fn forget(&mut self, on_record: impl Fn(&str) -> bool) {
+        self.machines.retain(|id, _| on_record(id));
+        // A burst's entries are not held for ever.
+        if self.machines.capacity() > 4 * self.machines.len() + 64 {
+            self.machines.shrink_to_fit();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_wake_forgets_reasons_to_act_and_nothing_else() {
+        let mut signs = Signs::new();
+        let of = signs.note("n-1");
+        (of.known, of.up, of.asked) = (Some(1), Some(2), Some(3));
+        (of.answered, of.unreached) = (Some(4), Some(5));
+        signs.wake();
+        let of = signs.of("n-1");
+        assert_eq!((of.known, of.answered), (Some(1), Some(4)));
+        assert_eq!((of.up, of.asked, of.unreached), (None, None, None));
+    }
+
+    #[test]
+    fn machines_that_are_gone_leave_no_room_behind() {
+        let mut signs = Signs::new();
+        for n in 0..4_000 {
+            signs.note(&format!("n-{n}")).known = Some(n);
+        }
+        signs.forget(|id| id == "n-7");
+        assert_eq!(signs.of("n-7").known, Some(7));
+        assert_eq!(signs.of("n-8").known, None);
+        assert!(
+            signs.machines.capacity() < 200,
+            "{}",
+            signs.machines.capacity()
+        );
+    }
+}
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -43,30 +43,62 @@
 /// Why machines of lost zones are ended.
 const ZONE_REASONS: [Why; 5] = [Why::Unseen, Why::Dead, Why::Due, Why::Late, Why::Given];
 
+/// What one walk over the machines that are up tells.
+#[derive(Debug, Default)]
+pub(crate) struct Survey {
+    pub zones: BTreeMap<String, ZoneSigns>,
+    /// Machines that are up.
+    pub up: usize,
+    /// Those that no node is known to have heard for long, and milliseconds since.
+    pub unheard: Vec<(String, Millis)>,
+    /// Those that report here, and which of them are overdue.
+    pub here: usize,
+    pub late_here: Vec<String>,
+}
+
 impl Node {
     /// The latest sign of life of a machine that any node is known to have had, if any: a check-in
     /// or an answer to a direct command.
     pub(crate) fn last_sign(&self, id: &str) -> Option<Millis> {
-        let answered = self.answered.get(id).copied();
+        let answered = self.signs.of(id).answered;
         self.last_check_in(id).max(answered)
     }
 
-    /// Notes which zones are silent as a whole.
-    pub(crate) fn judge_zones(&mut self) {
+    /// Goes once through the machines that are up.
+    pub(crate) fn survey(&self) -> Survey {
         let due = self.settings.report_due_ms();
-        let mut signs: BTreeMap<String, ZoneSigns> = BTreeMap::new();
+        let (limit, quick) = (self.unheard_limit(), due + PROBE_AFTER_MS);
+        let mut survey = Survey::default();
         for (id, m, _) in self.cache.machines().filter(|(_, m, _)| m.is_up()) {
-            if let Some(at) = self.last_sign(id) {
-                if !signs.contains_key(&m.zone) {
-                    signs.insert(m.zone.clone(), ZoneSigns::default());
+            let (own, told, of) = (self.heard.get(id), self.standby.told(id), self.signs.of(id));
+            let check_in = own.map(|h| h.at).max(told.map(|t| t.at));
+            if let Some(at) = check_in.max(of.answered) {
+                if !survey.zones.contains_key(&m.zone) {
+                    survey.zones.insert(m.zone.clone(), ZoneSigns::default());
                 }
-                if let Some(zone) = signs.get_mut(&m.zone) {
+                if let Some(zone) = survey.zones.get_mut(&m.zone) {
                     zone.machines += 1;
                     zone.latest = zone.latest.max(at);
                     zone.overdue += u64::from(self.now > at + due);
                 }
             }
+            survey.up += 1;
+            let silence = self.silence_of(own, told, &of);
+            if silence > limit {
+                survey.unheard.push((id.to_string(), silence));
+            }
+            if let Some(h) = own.filter(|h| h.at >= self.woke && !h.older_than(told)) {
+                survey.here += 1;
+                if self.now - h.at > quick {
+                    survey.late_here.push(id.to_string());
+                }
+            }
         }
+        survey
+    }
+
+    /// Notes which zones are silent as a whole.
+    pub(crate) fn judge_zones(&mut self, signs: BTreeMap<String, ZoneSigns>) {
         for (zone, s) in &signs {
             // After standing still, or a start, the silence may be this node's own. A zone that was
             // found silent stays so, however few of its machines are left, until it is heard.
@@ -141,7 +173,7 @@
     /// Whether work may be placed on a machine, or room made on it: it was heard lately, has not
     /// failed to answer since, and its zone is not cut off.
     pub(crate) fn reachable(&self, id: &str, zone: &str) -> bool {
-        let failed = self.unreached.get(id);
+        let failed = self.signs.of(id).unreached;
         self.recently_heard(id)
             && !self.zone_quiet(zone)
             && failed.is_none_or(|at| self.heard_at(id) >= at.saturating_sub(COMMAND_LIMIT_MS))
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -11,7 +11,8 @@
 use crate::model::*;
 use crate::node::{Beat, Heard, Said};
 use crate::tuning::Tuning;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use foldhash::{HashMap, HashMapExt};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What has most likely become of a sibling.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -118,6 +119,13 @@
     by: String,
 }
 
+impl Heard {
+    /// Whether a sibling is known to have got a later check-in.
+    pub fn older_than(&self, told: Option<&Told>) -> bool {
+        told.is_some_and(|t| (t.session, t.tally) > (self.session, self.tally))
+    }
+}
+
 /// Why a beat says nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Dropped {
@@ -533,8 +541,7 @@
 
     /// Whether a sibling got a later check-in of a machine than this node.
     pub fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
-        let told = self.told.get(id);
-        told.is_some_and(|t| (t.session, t.tally) > (own.session, own.tally))
+        own.older_than(self.told.get(id))
     }
 
     // ---- How it judges ------------------------------------------------------------------
--- a/crates/core/src/starts.rs
+++ b/crates/core/src/starts.rs
@@ -3,7 +3,8 @@
 
 use crate::constants::*;
 use crate::model::*;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use foldhash::HashMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An attempt of a task.
 pub(crate) type Attempt = (TaskId, u64);
--- a/crates/core/src/stats.rs
+++ b/crates/core/src/stats.rs
@@ -4,8 +4,9 @@
 use crate::model::*;
 use crate::node::Purpose;
 use crate::records::{Key, Txn};
+use foldhash::{HashMap, HashMapExt};
 use hdrhistogram::Histogram;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// Milliseconds, told apart to a hundredth.
 type Times = Option<Histogram<u32>>;
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -104,19 +104,12 @@
     /// Forgets what belongs to machines that are gone.
     pub(crate) fn forget_old(&mut self) {
         let cache = &self.cache;
-        self.known_since.retain(|id, _| cache.machine(id).is_some());
+        self.signs.forget(|id| cache.machine(id).is_some());
         self.used_at.retain(|id, _| cache.machine(id).is_some());
         self.heard
             .retain(|id, h| cache.machine(id).is_some() || self.now.saturating_sub(h.at) < 60_000);
         self.standby.forget(|id| cache.machine(id).is_some());
-        self.idle_since.retain(|id, _| cache.machine(id).is_some());
-        self.up_since.retain(|id, _| cache.machine(id).is_some());
-        self.command_failed
-            .retain(|id, _| cache.machine(id).is_some());
-        self.unreached.retain(|id, _| cache.machine(id).is_some());
         self.fetching.retain(|_, until| *until > self.now);
-        self.answered.retain(|id, _| cache.machine(id).is_some());
-        self.asked_at.retain(|id, _| cache.machine(id).is_some());
         self.turned_away.retain(|id, _| cache.machine(id).is_some());
         self.delete_tried
             .retain(|id, _| cache.machine(id).is_some());
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -203,10 +203,19 @@
         version = env!("CARGO_PKG_VERSION"),
         "started"
     );
-    let mut asked_to_end = Ending::new();
+    // A task of its own: the loop below would look for the signal with every event.
+    let leave = events_in.clone();
+    tokio::spawn(async move {
+        let mut ending = Ending::new();
+        loop {
+            ending.asked().await;
+            if leave.send(Event::Leave).await.is_err() {
+                return;
+            }
+        }
+    });
     loop {
         let event = tokio::select! {
-            _ = asked_to_end.asked() => Event::Leave,
             _ = tick.tick() => Event::Tick,
             Some(event) = events.recv() => event,
             Some(call) = calls.recv() => {
