--- a/crates/glenmount/src/server.rs
+++ b/crates/glenmount/src/server.rs
@@ -92,11 +92,11 @@
         match reached.await {
             Ok(Reached::User(reply)) => {
                 let (status, body, retry) = wire::user_reply(&reply);
-                plain(status, body.to_string(), retry)
+                plain(status, body, retry)
             }
             Ok(Reached::Worker(reply)) => {
                 let (status, body) = wire::worker_reply(&reply);
-                plain(status, body.to_string(), None)
+                plain(status, body, None)
             }
             Err(_) => plain(503, "{\"error\":\"no answer\"}".into(), Some(1)),
         }
--- a/crates/glenmount/src/wire.rs
+++ b/crates/glenmount/src/wire.rs
@@ -3,8 +3,9 @@
 use glenmount_core::constants::*;
 use glenmount_core::model::*;
 use glenmount_core::node::{UserReply, WorkerReply};
-use serde::{Deserialize, Deserializer, Serialize};
-use serde_json::{json, Value};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 
 /// A field that must be there, but may be null.
@@ -138,9 +139,38 @@
 }
 
 /// Status, body and `Retry-After` of an answer to a user.
-pub fn user_reply(reply: &UserReply) -> (u16, Value, Option<u32>) {
-    match reply {
-        UserReply::Accepted { job } => (201, json!({"nameId": job, "standing": "pending"}), None),
+/// What users are told. Written as it is, without a tree of values between: polls are many.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Told<'a> {
+    Job {
+        #[serde(rename = "nameId")]
+        id: &'a str,
+        standing: &'static str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        done: Option<u32>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        running: Option<u32>,
+    },
+    Error {
+        error: &'a str,
+    },
+}
+
+fn text(message: &impl Serialize) -> String {
+    // Plain structs of strings and numbers can't fail to be written.
+    serde_json::to_string(message).unwrap_or_else(|_| "{}".into())
+}
+
+pub fn user_reply(reply: &UserReply) -> (u16, String, Option<u32>) {
+    let standing = |id, standing| Told::Job {
+        id,
+        standing,
+        done: None,
+        running: None,
+    };
+    let (status, told, after_s) = match reply {
+        UserReply::Accepted { job } => (201, standing(job, "pending"), None),
         UserReply::State {
             job,
             state,
@@ -148,22 +178,36 @@
             running,
         } => (
             200,
-            json!({"nameId": job, "standing": state_name(*state), "done": done, "running": running}),
+            Told::Job {
+                id: job,
+                standing: state_name(*state),
+                done: Some(*done),
+                running: Some(*running),
+            },
             None,
         ),
-        UserReply::Cancelled { job, state } => (
-            200,
-            json!({"nameId": job, "standing": state_name(*state)}),
+        UserReply::Cancelled { job, state } => (200, standing(job, state_name(*state)), None),
+        UserReply::NotFound => (
+            404,
+            Told::Error {
+                error: "no such job",
+            },
             None,
         ),
-        UserReply::NotFound => (404, json!({"error": "no such job"}), None),
-        UserReply::Never(why) => (422, json!({"error": why}), None),
-        UserReply::Later { after_s } => (503, json!({"error": "can't decide now"}), Some(*after_s)),
-    }
+        UserReply::Never(why) => (422, Told::Error { error: why }, None),
+        UserReply::Later { after_s } => (
+            503,
+            Told::Error {
+                error: "can't decide now",
+            },
+            Some(*after_s),
+        ),
+    };
+    (status, text(&told), after_s)
 }
 
 #[derive(Deserialize)]
-struct CheckIn {
+struct CheckIn<'a> {
     host: String,
     address: String,
     flavour: String,
@@ -175,16 +219,18 @@
     fence: u64,
     #[serde(rename = "warningS", default)]
     warning_s: Option<f64>,
-    #[serde(default)]
-    drops: Vec<Drop>,
+    #[serde(default, borrow)]
+    drops: Vec<Drop<'a>>,
 }
 
 #[derive(Deserialize)]
-struct Drop {
-    drop: String,
+struct Drop<'a> {
+    #[serde(borrow)]
+    drop: Cow<'a, str>,
     #[serde(rename = "try")]
     attempt: u64,
-    standing: String,
+    #[serde(borrow)]
+    standing: Cow<'a, str>,
     #[serde(default)]
     cause: Option<String>,
 }
@@ -206,7 +252,7 @@
         tasks.push(TaskReport {
             task: TaskId::parse(&d.drop).ok_or("a drop is malformed")?,
             attempt: d.attempt,
-            phase: match d.standing.as_str() {
+            phase: match d.standing.as_ref() {
                 "fetching" => TaskPhase::Fetching,
                 "flushing" => TaskPhase::Saving,
                 "exited" => TaskPhase::Exited(match d.cause.as_deref() {
@@ -236,38 +282,77 @@
     })
 }
 
-fn order(o: &Order) -> Value {
-    match o {
-        Order::Start { task, attempt } => {
-            json!({"verb": "start", "drop": task.to_string(), "try": attempt})
-        }
+fn shown<S: Serializer>(task: &TaskId, s: S) -> Result<S::Ok, S::Error> {
+    s.collect_str(task)
+}
+
+#[derive(Serialize)]
+struct Verb<'a> {
+    verb: &'static str,
+    #[serde(serialize_with = "shown")]
+    drop: &'a TaskId,
+    #[serde(rename = "try")]
+    attempt: u64,
+    #[serde(rename = "leewayS", skip_serializing_if = "Option::is_none")]
+    leeway_s: Option<f64>,
+}
+
+fn order(o: &Order) -> Verb<'_> {
+    let (verb, drop, attempt, leeway_s) = match o {
+        Order::Start { task, attempt } => ("start", task, *attempt, None),
         Order::Stop {
             task,
             attempt,
             grace_s,
-        } => {
-            json!({"verb": "halt", "drop": task.to_string(), "try": attempt, "leewayS": grace_s})
-        }
-        Order::Forget { task, attempt } => {
-            json!({"verb": "forget", "drop": task.to_string(), "try": attempt})
-        }
+        } => ("halt", task, *attempt, Some(*grace_s)),
+        Order::Forget { task, attempt } => ("forget", task, *attempt, None),
+    };
+    Verb {
+        verb,
+        drop,
+        attempt,
+        leeway_s,
     }
 }
 
-pub fn command(session: u64, token: u64, orders: &[Order]) -> String {
-    let orders: Vec<Value> = orders.iter().map(order).collect();
-    json!({"fence": token, "tenure": session, "orders": orders}).to_string()
+/// What a worker is told to do: in a command with its session, in an answer without.
+#[derive(Serialize)]
+struct Orders<'a> {
+    fence: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    tenure: Option<u64>,
+    orders: Vec<Verb<'a>>,
+}
+
+fn orders(token: u64, session: Option<u64>, orders: &[Order]) -> String {
+    text(&Orders {
+        fence: token,
+        tenure: session,
+        orders: orders.iter().map(order).collect(),
+    })
+}
+
+pub fn command(session: u64, token: u64, commands: &[Order]) -> String {
+    orders(token, Some(session), commands)
 }
 
-pub fn worker_reply(reply: &WorkerReply) -> (u16, Value) {
+#[derive(Serialize)]
+struct Elsewhere<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    steward: Option<&'a str>,
+}
+
+pub fn worker_reply(reply: &WorkerReply) -> (u16, String) {
     match reply {
-        WorkerReply::Orders { token, orders } => (
-            200,
-            json!({"fence": token, "orders": orders.iter().map(order).collect::<Vec<_>>()}),
-        ),
-        WorkerReply::Elsewhere { node: Some(node) } => (421, json!({"steward": node})),
-        WorkerReply::Elsewhere { node: None } => (421, json!({})),
-        WorkerReply::NotNow => (503, json!({"error": "not now"})),
+        WorkerReply::Orders {
+            token,
+            orders: told,
+        } => (200, orders(*token, None, told)),
+        WorkerReply::Elsewhere { node } => {
+            let steward = node.as_deref();
+            (421, text(&Elsewhere { steward }))
+        }
+        WorkerReply::NotNow => (503, text(&Told::Error { error: "not now" })),
     }
 }
 
@@ -385,6 +470,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use serde_json::json;
 
     fn good() -> Value {
         json!({"nameId":"j-000412","jobclass":"train","owner":"vision","shape":"array",
@@ -452,6 +538,82 @@
         }
     }
 
+    #[test]
+    fn what_is_said_is_as_published() {
+        let read = |text: &str| serde_json::from_str::<Value>(text).unwrap();
+        let task = TaskId::parse("j-000412/4").unwrap();
+        let attempt = 2;
+        let told = [
+            Order::Start {
+                task: task.clone(),
+                attempt,
+            },
+            Order::Stop {
+                task: task.clone(),
+                attempt,
+                grace_s: 10.0,
+            },
+            Order::Forget { task, attempt },
+        ];
+        let verbs = json!([{"verb":"start","drop":"j-000412/4","try":2},
+            {"verb":"halt","drop":"j-000412/4","try":2,"leewayS":10.0},
+            {"verb":"forget","drop":"j-000412/4","try":2}]);
+        assert_eq!(
+            read(&command(1, 41, &told)),
+            json!({"fence":41,"tenure":1,"orders":verbs})
+        );
+        let reply = |r| {
+            let (status, body) = worker_reply(&r);
+            (status, read(&body))
+        };
+        let orders = WorkerReply::Orders {
+            token: 41,
+            orders: told.to_vec(),
+        };
+        assert_eq!(reply(orders), (200, json!({"fence":41,"orders":verbs})));
+        let away = |node: Option<&str>| WorkerReply::Elsewhere {
+            node: node.map(Into::into),
+        };
+        assert_eq!(reply(away(Some("b-2"))), (421, json!({"steward":"b-2"})));
+        assert_eq!(reply(away(None)), (421, json!({})));
+        assert_eq!(reply(WorkerReply::NotNow).0, 503);
+        let user = |r| {
+            let (status, body, after) = user_reply(&r);
+            (status, read(&body), after)
+        };
+        let job = || "j-000412".to_string();
+        let state = UserReply::State {
+            job: job(),
+            state: JobState::Running,
+            done: 3,
+            running: 13,
+        };
+        assert_eq!(
+            user(state),
+            (
+                200,
+                json!({"nameId":"j-000412","standing":"running","done":3,"running":13}),
+                None
+            )
+        );
+        let accepted = UserReply::Accepted { job: job() };
+        assert_eq!(
+            user(accepted),
+            (201, json!({"nameId":"j-000412","standing":"pending"}), None)
+        );
+        let cancelled = UserReply::Cancelled {
+            job: job(),
+            state: JobState::Cancelled,
+        };
+        assert_eq!(
+            user(cancelled),
+            (200, json!({"nameId":"j-000412","standing":"aborted"}), None)
+        );
+        let never = UserReply::Never("no \"team\"".into());
+        assert_eq!(user(never), (422, json!({"error":"no \"team\""}), None));
+        assert_eq!(user(UserReply::Later { after_s: 5 }).2, Some(5));
+    }
+
     #[test]
     fn a_check_in_is_read_with_causes() {
         let body = json!({"host":"n-1","address":"10.1.0.2:9000","flavour":"g8","yard":"a",
