--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -719,6 +719,18 @@
         }
     }
 
+    /// A machine's process ends, with all its tasks, and is back so long after, as a newer session.
+    pub fn restart_machine(&mut self, name: &str, back_after: u64) {
+        self.all_off(name);
+        if let Some(w) = self.workers.get_mut(name) {
+            w.session += 1;
+            w.tasks.clear();
+            w.in_flight = None;
+            w.lease_from = self.now + back_after;
+            self.at(back_after, Act::Report(name.to_string()));
+        }
+    }
+
     pub fn kill_machine(&mut self, name: &str) {
         self.all_off(name);
         if let Some(w) = self.workers.get_mut(name) {
