--- /dev/null
+++ b/crates/glenmount/src/costs.rs
@@ -0,0 +1,175 @@
+//! What this process's time goes into: counted by kind of event, logged every so often.
+//!
+//! Two looks at the clock an event. What runs between two events - HTTP, the runtime, the kernel -
+//! is not in here: it is the difference to what the platform counts.
+
+use glenmount_core::node::Event;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+/// Period at which it is logged.
+const LOG: Duration = Duration::from_secs(30);
+
+/// What the core is told.
+const KINDS: [&str; 10] = [
+    "tick", "check_in", "poll", "submit", "cancel", "state", "watch", "beat", "command", "other",
+];
+
+fn kind(event: &Event) -> usize {
+    match event {
+        Event::Tick => 0,
+        Event::CheckIn { .. } => 1,
+        Event::Status { .. } => 2,
+        Event::Submit { .. } => 3,
+        Event::Cancel { .. } => 4,
+        Event::State { .. } => 5,
+        Event::Watched { .. } => 6,
+        Event::Beat(_) => 7,
+        Event::Commanded { .. } => 8,
+        Event::Throttled
+        | Event::WatchGap
+        | Event::Cloud { .. }
+        | Event::LinkEnded { .. }
+        | Event::Leave => 9,
+    }
+}
+
+/// Work done in other tasks than the core's, told by these themselves.
+pub struct Outside {
+    count: AtomicU64,
+    ns: AtomicU64,
+}
+
+impl Outside {
+    const fn new() -> Outside {
+        Outside {
+            count: AtomicU64::new(0),
+            ns: AtomicU64::new(0),
+        }
+    }
+    /// Does it, and counts the time.
+    pub fn time<T>(&self, work: impl FnOnce() -> T) -> T {
+        let began = Instant::now();
+        let done = work();
+        self.count.fetch_add(1, Relaxed);
+        self.ns
+            .fetch_add(began.elapsed().as_nanos() as u64, Relaxed);
+        done
+    }
+    fn take(&self) -> Cost {
+        Cost {
+            count: self.count.swap(0, Relaxed),
+            ns: self.ns.swap(0, Relaxed),
+        }
+    }
+}
+
+/// Reports and submissions read from JSON.
+pub static READ: Outside = Outside::new();
+/// Answers written as JSON.
+pub static WRITTEN: Outside = Outside::new();
+/// Answers of the state service read into records, and the watch's changes.
+pub static RECORDS: Outside = Outside::new();
+/// Beats read and written.
+pub static FRAMES: Outside = Outside::new();
+
+#[derive(Clone, Copy, Default)]
+struct Cost {
+    count: u64,
+    ns: u64,
+}
+
+/// Owned by the core's actor.
+pub struct Costs {
+    since: Instant,
+    kinds: [Cost; KINDS.len()],
+    /// What was told to be done, handed to the tasks that do it.
+    effects: Cost,
+}
+
+/// How many, microseconds of each in the mean, and thousandths of a core.
+fn told(cost: Cost, over: Duration) -> String {
+    let each = cost.ns as f64 / 1e3 / cost.count.max(1) as f64;
+    let share = cost.ns as f64 / 1e6 / over.as_secs_f64().max(0.001);
+    format!("{}/{each:.1}us/{share:.2}m", cost.count)
+}
+
+impl Costs {
+    pub fn new() -> Costs {
+        Costs {
+            since: Instant::now(),
+            kinds: Default::default(),
+            effects: Cost::default(),
+        }
+    }
+
+    /// Starts counting an event.
+    pub fn begin(&self, event: &Event) -> (usize, Instant) {
+        (kind(event), Instant::now())
+    }
+
+    /// The core has handled it, and what it wanted was handed on.
+    pub fn end(&mut self, (kind, began): (usize, Instant), handled: Instant, effects: usize) {
+        let now = Instant::now();
+        let cost = &mut self.kinds[kind];
+        cost.count += 1;
+        cost.ns += handled.duration_since(began).as_nanos() as u64;
+        self.effects.count += effects as u64;
+        self.effects.ns += now.duration_since(handled).as_nanos() as u64;
+        let over = now.duration_since(self.since);
+        if over >= LOG {
+            self.log(over);
+            *self = Costs::new();
+        }
+    }
+
+    fn log(&self, over: Duration) {
+        let outside = [&READ, &WRITTEN, &RECORDS, &FRAMES].map(Outside::take);
+        let names = ["read", "written", "records", "frames"];
+        let core = KINDS.iter().zip(self.kinds).filter(|(_, c)| c.count > 0);
+        let core: Vec<String> = core
+            .map(|(name, c)| format!("{name}:{}", told(c, over)))
+            .collect();
+        let outside: Vec<String> = (names.iter().zip(outside))
+            .filter(|(_, c)| c.count > 0)
+            .map(|(name, c)| format!("{name}:{}", told(c, over)))
+            .collect();
+        // each: how many / microseconds of each / thousandths of a core
+        tracing::info!(
+            seconds = over.as_secs(),
+            core = core.join(" "),
+            effects = told(self.effects, over),
+            outside = outside.join(" "),
+            "costs"
+        );
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_event_is_counted_under_its_kind() {
+        let mut costs = Costs::new();
+        for event in [Event::Tick, Event::Tick, Event::Throttled] {
+            let begun = costs.begin(&event);
+            costs.end(begun, Instant::now(), 2);
+        }
+        assert_eq!((costs.kinds[0].count, costs.kinds[9].count), (2, 1));
+        assert_eq!(costs.effects.count, 6);
+        let cost = Cost {
+            count: 4,
+            ns: 8_000_000,
+        };
+        assert_eq!(told(cost, Duration::from_secs(2)), "4/2000.0us/4.00m");
+    }
+
+    #[test]
+    fn work_outside_is_taken_once() {
+        let outside = Outside::new();
+        assert_eq!(outside.time(|| 7), 7);
+        assert_eq!(outside.take().count, 1);
+        assert_eq!(outside.take().count, 0);
+    }
+}
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod cloud;
 mod connections;
+mod costs;
 mod http;
 mod peer;
 mod server;
@@ -196,6 +197,7 @@
     let node_name = config.core.node.clone();
     let mut node = Node::new(config.core, seed, 0, wall_ms());
     let mut answers: HashMap<u64, oneshot::Sender<Reached>> = HashMap::new();
+    let mut costs = costs::Costs::new();
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     tracing::info!(
@@ -224,7 +226,10 @@
             }
         };
         let now = begun.elapsed().as_millis() as u64;
-        for effect in node.handle(now, wall_ms(), event) {
+        let cost = costs.begin(&event);
+        let effects = node.handle(now, wall_ms(), event);
+        let (handled, count) = (std::time::Instant::now(), effects.len());
+        for effect in effects {
             match effect {
                 Effect::User { request, reply } => {
                     if let Some(answer) = answers.remove(&request) {
@@ -283,5 +288,6 @@
             }
         }
         ready.store(node.ready(), Ordering::Relaxed);
+        costs.end(cost, handled, count);
     }
 }
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -1,6 +1,7 @@
 //! The link between controller nodes: length-prefixed MessagePack frames, one way per
 //! connection. Each node tells its siblings what it hears; nothing is answered.
 
+use crate::costs::FRAMES;
 use glenmount_core::constants::PEER_BEAT_MS;
 use glenmount_core::node::{Beat, Event, Said};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
@@ -179,7 +180,9 @@
         }
         let mut frame = vec![0; len as usize];
         timeout(QUIET, stream.read_exact(&mut frame)).await??;
-        let beat = read(&frame).ok_or(std::io::ErrorKind::InvalidData)?;
+        let beat = FRAMES
+            .time(|| read(&frame))
+            .ok_or(std::io::ErrorKind::InvalidData)?;
         if link.is_none() {
             *link = Some(links.begins(&beat.node));
         }
@@ -197,7 +200,8 @@
             if let Ok(Ok(mut stream)) = connected {
                 let _ = stream.set_nodelay(true);
                 while beats.changed().await.is_ok() {
-                    let Ok(frame) = rmp_serde::to_vec(&*beats.borrow_and_update()) else {
+                    let written = FRAMES.time(|| rmp_serde::to_vec(&*beats.borrow_and_update()));
+                    let Ok(frame) = written else {
                         continue;
                     };
                     // A sibling that heard nothing for long, as after this process stood still,
--- a/crates/glenmount/src/server.rs
+++ b/crates/glenmount/src/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server for users, workers and health checks.
 
+use crate::costs::{READ, WRITTEN};
 use crate::wire;
 use futures_util::{Stream, StreamExt};
 use glenmount_core::constants::BODY_BYTES;
@@ -91,11 +92,11 @@
         }
         match reached.await {
             Ok(Reached::User(reply)) => {
-                let (status, body, retry) = wire::user_reply(&reply);
+                let (status, body, retry) = WRITTEN.time(|| wire::user_reply(&reply));
                 plain(status, body, retry)
             }
             Ok(Reached::Worker(reply)) => {
-                let (status, body) = wire::worker_reply(&reply);
+                let (status, body) = WRITTEN.time(|| wire::worker_reply(&reply));
                 plain(status, body, None)
             }
             Err(_) => plain(503, "{\"error\":\"no answer\"}".into(), Some(1)),
@@ -114,7 +115,7 @@
                     Ok(body) => body,
                     Err(response) => return response,
                 };
-                match wire::submission(&body) {
+                match READ.time(|| wire::submission(&body)) {
                     Ok(spec) => {
                         let spec = Box::new(spec);
                         self.call(|request| Event::Submit { request, spec }).await
@@ -141,7 +142,7 @@
                     Ok(body) => body,
                     Err(response) => return response,
                 };
-                match wire::report(&body) {
+                match READ.time(|| wire::report(&body)) {
                     Ok(report) => {
                         let report = Box::new(report);
                         self.call(|request| Event::CheckIn { request, report })
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -2,6 +2,7 @@
 //! ranks its work, and one that follows the watch.
 
 use crate::budget::Budget;
+use crate::costs::RECORDS;
 use crate::http::Http;
 use glenmount_core::constants::*;
 use glenmount_core::node::{Event, Priority, StateAnswer, StateOp, Token};
@@ -131,23 +132,25 @@
             epoch(&body).map(|epoch| StateAnswer::Conflict { epoch })
         }
         (StateOp::Proof, 404) => epoch(&body).map(|epoch| StateAnswer::Proof { epoch }),
-        (StateOp::List { .. }, 200) => serde_json::from_slice::<ListBody>(&body).ok().map(|list| {
-            let last = list.items.last().map(|i| i.k.clone());
-            let items = list
-                .items
-                .into_iter()
-                .filter_map(|i| {
-                    let key = Key::parse(&i.k)?;
-                    let record = Record::read(&key, i.v)?;
-                    Some((key, i.stamp, record))
-                })
-                .collect();
-            StateAnswer::Listed {
-                items,
-                last,
-                more: list.more,
-                epoch: list.epoch,
-            }
+        (StateOp::List { .. }, 200) => RECORDS.time(|| {
+            serde_json::from_slice::<ListBody>(&body).ok().map(|list| {
+                let last = list.items.last().map(|i| i.k.clone());
+                let items = list
+                    .items
+                    .into_iter()
+                    .filter_map(|i| {
+                        let key = Key::parse(&i.k)?;
+                        let record = Record::read(&key, i.v)?;
+                        Some((key, i.stamp, record))
+                    })
+                    .collect();
+                StateAnswer::Listed {
+                    items,
+                    last,
+                    more: list.more,
+                    epoch: list.epoch,
+                }
+            })
         }),
         (_, 400) => Some(StateAnswer::Refused),
         _ => None,
@@ -305,14 +308,10 @@
                 }
             };
             match answer {
-                Some((200, body)) => match serde_json::from_slice::<WatchBody>(&body) {
-                    Ok(body) => {
-                        since = since.max(body.epoch);
-                        let changes = body.news.into_iter().filter_map(change).collect();
-                        let event = Event::Watched {
-                            epoch: body.epoch,
-                            changes,
-                        };
+                Some((200, body)) => match RECORDS.time(|| watched(&body)) {
+                    Ok((epoch, changes)) => {
+                        since = since.max(epoch);
+                        let event = Event::Watched { epoch, changes };
                         if core.send(event).await.is_err() {
                             return;
                         }
@@ -336,6 +335,14 @@
     restart_in
 }
 
+type Changes = Vec<(Key, u64, Option<Record>)>;
+
+fn watched(body: &[u8]) -> serde_json::Result<(u64, Changes)> {
+    let body: WatchBody = serde_json::from_slice(body)?;
+    let changes = body.news.into_iter().filter_map(change).collect();
+    Ok((body.epoch, changes))
+}
+
 fn change(news: News) -> Option<(Key, u64, Option<Record>)> {
     if let Some(path) = news.put {
         let key = Key::parse(&path)?;
