A lookup asks once for what is known of a machine, and leaves out those that fit nothing

Change: signs::Sight gathers own check-ins, siblings' word and notes in three searches; machines with less room than the least that anything waiting needs only count for their zone's room (plan keeps those that fit). Order and choice unchanged: claims only take room, so such a machine could serve nothing.

--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -426,6 +426,35 @@
     pub carrier: claims::Carrier,
 }
 
+impl<'a> Candidate<'a> {
+    /// One that has no room for anything that waits: it only counts for its zone.
+    pub fn full(id: &'a str, record: &'a MachineRecord, room: Room) -> Candidate<'a> {
+        Candidate {
+            id,
+            record,
+            images: &[],
+            room,
+            used_at: 0,
+            own: false,
+            busy: true,
+            fetch_ms: 0,
+            carrier: claims::Carrier::Answer,
+        }
+    }
+}
+
+/// The least that any of the waiting tasks takes, of each kind of room: a machine with less serves
+/// none of them.
+pub fn least_need(work: &[Waiting]) -> Room {
+    let needs = work.iter().map(|w| w.set.need);
+    let least = needs.reduce(|a, b| Room {
+        cpus: a.cpus.min(b.cpus),
+        gpus: a.gpus.min(b.gpus),
+        ram: a.ram.min(b.ram),
+    });
+    least.unwrap_or_default()
+}
+
 #[derive(Debug, Default)]
 pub struct Plan {
     pub txn: Txn,
@@ -515,7 +544,7 @@
     settings: &Settings,
     types: &HashMap<String, MachineType>,
     work: &mut [Waiting],
-    machines: &mut [Candidate],
+    machines: &mut Vec<Candidate>,
     most: usize,
     wall: WallMs,
 ) -> Plan {
@@ -528,6 +557,9 @@
     let mut draft = Draft::limited(cache, most);
     let mut result = Plan::default();
     let mut reserve = Reserve::new(cache, settings, types, work, machines, wall);
+    // Claims only take room: what fits none of the work now never will in this lookup.
+    let least = least_need(work);
+    machines.retain(|m| m.room.fits(&least));
     let classes = work.chunk_by_mut(|a, b| same_class(&a.urgency, &b.urgency));
     'all: for class in classes {
         for warm in [true, false] {
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -9,9 +9,9 @@
 use crate::node::*;
 use crate::records::*;
 use crate::results::{Ended, Travel};
-use crate::signs::OfMachine;
+use crate::signs::{OfMachine, Sight};
 use crate::silence::Survey;
-use crate::standby::{Sibling, Told};
+use crate::standby::Sibling;
 use foldhash::HashMap;
 use rand::seq::SliceRandom;
 use std::collections::{BTreeMap, BTreeSet};
@@ -393,10 +393,10 @@
 
     /// How a start gets from here to a machine: by a direct command, unless the last one
     /// failed; then by the answer to a check-in.
-    pub(crate) fn carrier(&self, id: &str, m: &MachineRecord) -> Carrier {
-        let refused = self.signs.of(id).refused;
+    pub(crate) fn carrier(&self, sight: &Sight, m: &MachineRecord) -> Carrier {
+        let refused = sight.of.refused;
         let failed = refused.is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
-        let session = self.latest_session(id);
+        let session = sight.session();
         let token = self.cache.term().map(|term| term + m.raised);
         match (token, session) {
             (Some(token), Some(session)) if !failed && !m.address.is_empty() => {
@@ -406,11 +406,6 @@
         }
     }
 
-    fn latest_session(&self, id: &str) -> Option<u64> {
-        let own = self.heard.get(id).map(|h| h.session);
-        own.max(self.standby.told(id).map(|t| t.session))
-    }
-
     /// Sends the starts of a committed claim. Each is sent once: were it sent again, a late
     /// copy could start the task after its result was taken and forgotten.
     pub(crate) fn command_starts(&mut self, claimed: &[(TaskId, String)]) {
@@ -451,7 +446,7 @@
     /// heard by none of them since, and would otherwise never be found silent.
     pub(crate) fn command_now(&mut self, id: String, orders: Vec<Order>) {
         let none = orders.is_empty().then_some(NO_SESSION);
-        let session = self.latest_session(&id).or(none);
+        let session = self.sight(&id).session().or(none);
         if let (Some(token), Some(session)) = (self.machine_token(&id), session) {
             self.command(id, session, token, orders);
         }
@@ -724,38 +719,26 @@
     /// When any node last got a machine's check-in, as far as is known here. A machine that
     /// has just come up may have reported to a sibling whose next beat is still to come, so
     /// this counts from when it was first seen up here.
-    pub(crate) fn heard_at(&self, id: &str) -> Millis {
-        let (own, told) = (self.heard.get(id), self.standby.told(id));
-        self.heard_at_of(own, told, &self.signs.of(id))
-    }
-
-    fn heard_at_of(&self, own: Option<&Heard>, told: Option<&Told>, of: &OfMachine) -> Millis {
-        let seen = of.up.unwrap_or(self.now);
-        let own = own.map_or(seen, |h| h.at.max(seen));
-        own.max(told.map_or(0, |t| t.at))
+    pub(crate) fn heard_at_of(&self, sight: &Sight) -> Millis {
+        let seen = sight.of.up.unwrap_or(self.now);
+        let own = sight.own.map_or(seen, |h| h.at.max(seen));
+        own.max(sight.told.map_or(0, |t| t.at))
     }
 
     /// When any node last got a check-in of it, if ever.
     pub(crate) fn last_check_in(&self, id: &str) -> Option<Millis> {
-        let own = self.heard.get(id).map(|h| h.at);
-        own.max(self.standby.told(id).map(|t| t.at))
+        self.sight(id).check_in()
     }
 
     /// Milliseconds without a sign of life of a machine: a check-in anywhere, or an answer to
     /// a direct command.
     fn silence(&self, id: &str) -> Millis {
-        let (own, told) = (self.heard.get(id), self.standby.told(id));
-        self.silence_of(own, told, &self.signs.of(id))
+        self.silence_of(&self.sight(id))
     }
 
-    pub(crate) fn silence_of(
-        &self,
-        own: Option<&Heard>,
-        told: Option<&Told>,
-        of: &OfMachine,
-    ) -> Millis {
-        let answered = of.answered.unwrap_or(0);
-        self.now - self.heard_at_of(own, told, of).max(answered)
+    pub(crate) fn silence_of(&self, sight: &Sight) -> Millis {
+        let answered = sight.of.answered.unwrap_or(0);
+        self.now - self.heard_at_of(sight).max(answered)
     }
 
     /// Milliseconds in which a worker finds another node: whichever a machine reported to, it is
@@ -801,14 +784,12 @@
         WORKER_MOVE_MS + self.settings.report_due_ms()
     }
 
-    /// Whether its latest check-in, as far as is known, came to this node.
-    pub(crate) fn reports_here(&self, id: &str) -> bool {
-        let own = self.heard.get(id);
-        own.is_some_and(|h| !self.newer_elsewhere(id, h))
+    pub(crate) fn recently_heard(&self, id: &str) -> bool {
+        self.recently_heard_of(&self.sight(id))
     }
 
-    pub(crate) fn recently_heard(&self, id: &str) -> bool {
-        self.now - self.heard_at(id) < self.settings.report_ms * 5 / 2
+    pub(crate) fn recently_heard_of(&self, sight: &Sight) -> bool {
+        self.now - self.heard_at_of(sight) < self.settings.report_ms * 5 / 2
     }
 
     /// Finds machines to delete: silent ones, ones that never came up, idle ones, and ones
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -60,6 +60,7 @@
         if work.is_empty() {
             return;
         }
+        let least = lookup::least_need(&work);
         let mut machines: Vec<Candidate> = Vec::new();
         for (id, m, _) in self.cache.machines() {
             let Some(kind) = self.types.get(&m.type_name) else {
@@ -70,24 +71,36 @@
                 || room.ram == 0
                 || m.phase != MachinePhase::Up
                 || self.condemned.contains_key(id)
-                || !self.reachable(id, &m.zone)
-                || !self.reported(id)
             {
                 continue;
             }
+            // What is full for all that waits only counts as room of its zone, and as that only if it
+            // is an ordinary machine: in a burst that is most of them.
+            let fits = room.fits(&least);
+            if !fits && m.spot {
+                continue;
+            }
+            let sight = self.sight(id);
+            if !self.reachable_by(&sight, &m.zone) || !self.reported(&sight) {
+                continue;
+            }
+            if !fits {
+                machines.push(Candidate::full(id, m, room));
+                continue;
+            }
             machines.push(Candidate {
                 id,
                 record: m,
                 images: self.cache.images_of(id),
                 room,
                 used_at: self.used_at.get(id).copied().unwrap_or(0),
-                own: self.reports_here(id),
+                own: sight.reports_here(),
                 busy: self.cache.booked_tasks(id) > 0,
                 fetch_ms: self
                     .fetching
                     .get(id)
                     .map_or(0, |until| until.saturating_sub(self.now)),
-                carrier: self.carrier(id, m),
+                carrier: self.carrier(&sight, m),
             });
         }
         let settled = self.settled();
--- a/crates/core/src/signs.rs
+++ b/crates/core/src/signs.rs
@@ -2,6 +2,8 @@
 //! it is looked at several times a second for every one of them.
 
 use crate::model::Millis;
+use crate::node::{Heard, Node};
+use crate::standby::Told;
 use foldhash::{HashMap, HashMapExt};
 
 /// Times at which something was noted of a machine, where it was.
@@ -23,6 +25,46 @@
     pub asked: Option<Millis>,
 }
 
+/// All that is known of a machine's life, looked up once: lookups and judging ask for every part of
+/// it, of every machine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sight<'a> {
+    pub own: Option<&'a Heard>,
+    pub told: Option<&'a Told>,
+    pub of: OfMachine,
+}
+
+impl Sight<'_> {
+    /// When any node last got a check-in of it, if ever.
+    pub fn check_in(&self) -> Option<Millis> {
+        self.own.map(|h| h.at).max(self.told.map(|t| t.at))
+    }
+    /// The latest sign of life that any node is known to have had, if any: a check-in or an answer to
+    /// a direct command.
+    pub fn latest(&self) -> Option<Millis> {
+        self.check_in().max(self.of.answered)
+    }
+    /// Its latest session.
+    pub fn session(&self) -> Option<u64> {
+        let own = self.own.map(|h| h.session);
+        own.max(self.told.map(|t| t.session))
+    }
+    /// Whether its latest check-in, as far as is known, came to this node.
+    pub fn reports_here(&self) -> bool {
+        self.own.is_some_and(|h| !h.older_than(self.told))
+    }
+}
+
+impl Node {
+    pub(crate) fn sight(&self, id: &str) -> Sight<'_> {
+        Sight {
+            own: self.heard.get(id),
+            told: self.standby.told(id),
+            of: self.signs.of(id),
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Signs {
     machines: HashMap<String, OfMachine>,
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -5,6 +5,7 @@
 use crate::constants::*;
 use crate::model::*;
 use crate::node::*;
+use crate::signs::Sight;
 use crate::zones::{Kind, Turn, Why};
 use std::collections::BTreeMap;
 
@@ -70,9 +71,8 @@
         let (limit, quick) = (self.unheard_limit(), due + PROBE_AFTER_MS);
         let mut survey = Survey::default();
         for (id, m, _) in self.cache.machines().filter(|(_, m, _)| m.is_up()) {
-            let (own, told, of) = (self.heard.get(id), self.standby.told(id), self.signs.of(id));
-            let check_in = own.map(|h| h.at).max(told.map(|t| t.at));
-            if let Some(at) = check_in.max(of.answered) {
+            let sight = self.sight(id);
+            if let Some(at) = sight.latest() {
                 if !survey.zones.contains_key(&m.zone) {
                     survey.zones.insert(m.zone.clone(), ZoneSigns::default());
                 }
@@ -83,11 +83,12 @@
                 }
             }
             survey.up += 1;
-            let silence = self.silence_of(own, told, &of);
+            let silence = self.silence_of(&sight);
             if silence > limit {
                 survey.unheard.push((id.to_string(), silence));
             }
-            if let Some(h) = own.filter(|h| h.at >= self.woke && !h.older_than(told)) {
+            let here = sight.own.filter(|h| h.at >= self.woke);
+            if let Some(h) = here.filter(|_| sight.reports_here()) {
                 survey.here += 1;
                 if self.now - h.at > quick {
                     survey.late_here.push(id.to_string());
@@ -173,10 +174,15 @@
     /// Whether work may be placed on a machine, or room made on it: it was heard lately, has not
     /// failed to answer since, and its zone is not cut off.
     pub(crate) fn reachable(&self, id: &str, zone: &str) -> bool {
-        let failed = self.signs.of(id).unreached;
-        self.recently_heard(id)
+        self.reachable_by(&self.sight(id), zone)
+    }
+
+    pub(crate) fn reachable_by(&self, sight: &Sight, zone: &str) -> bool {
+        let failed = sight.of.unreached;
+        self.recently_heard_of(sight)
             && !self.zone_quiet(zone)
-            && failed.is_none_or(|at| self.heard_at(id) >= at.saturating_sub(COMMAND_LIMIT_MS))
+            && failed
+                .is_none_or(|at| self.heard_at_of(sight) >= at.saturating_sub(COMMAND_LIMIT_MS))
     }
 }
 
