Records are read from the service's text, without a tree of values between

Change: raw values borrowed from the answer, each record read from its text by its key's kind; the samples of the version in production are read both ways in a test.

--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -5,6 +5,7 @@
 use crate::model::*;
 use crate::pipelines::Dependents;
 use foldhash::HashMap;
+use serde::de::IgnoredAny;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -418,6 +419,30 @@
     Runs(RunsRecord),
 }
 
+/// Reads a record by its key's kind.
+macro_rules! read_as {
+    ($key:expr, $compact:expr, $read:expr) => {
+        match $key {
+            Key::Term => $read.ok().map(Record::Term),
+            Key::Types => $read.ok().map(Record::Types),
+            Key::Fleet => $read.ok().map(Record::Fleet),
+            Key::Job(_) => $read.ok().map(Record::Job),
+            Key::Chunk(..) if $compact => {
+                let chunk: Option<CompactChunk> = $read.ok();
+                chunk?.read().map(Record::Chunk)
+            }
+            Key::Chunk(..) => $read.ok().map(Record::Chunk),
+            Key::Place(_) => $read.ok().map(Record::Place),
+            Key::Machine(_) => $read.ok().map(Record::Machine),
+            Key::Team(_) => $read.ok().map(Record::Team),
+            Key::Hire(_) => $read.ok().map(Record::Hire),
+            Key::Format(_) => $read.ok().map(Record::Format),
+            Key::Settled => $read.ok().map(Record::Settled),
+            Key::Runs(_) => $read.ok().map(Record::Runs),
+        }
+    };
+}
+
 impl Record {
     /// As it is stored in a format.
     pub fn value(&self, format: u32) -> Value {
@@ -440,26 +465,20 @@
     }
 
     pub fn read(key: &Key, value: Value) -> Option<Record> {
-        fn get<T: for<'a> Deserialize<'a>>(v: Value) -> Option<T> {
-            serde_json::from_value(v).ok()
-        }
-        match key {
-            Key::Term => get(value).map(Record::Term),
-            Key::Types => get(value).map(Record::Types),
-            Key::Fleet => get(value).map(Record::Fleet),
-            Key::Job(_) => get(value).map(Record::Job),
-            Key::Chunk(..) => match value.get("z") {
-                Some(_) => get::<CompactChunk>(value)?.read().map(Record::Chunk),
-                None => get(value).map(Record::Chunk),
-            },
-            Key::Place(_) => get(value).map(Record::Place),
-            Key::Machine(_) => get(value).map(Record::Machine),
-            Key::Team(_) => get(value).map(Record::Team),
-            Key::Hire(_) => get(value).map(Record::Hire),
-            Key::Format(_) => get(value).map(Record::Format),
-            Key::Settled => get(value).map(Record::Settled),
-            Key::Runs(_) => get(value).map(Record::Runs),
+        let compact = value.get("z").is_some();
+        read_as!(key, compact, serde_json::from_value(value))
+    }
+
+    /// The same from its text: without a tree of values between, since nodes read every change that
+    /// any of them makes.
+    pub fn read_text(key: &Key, text: &str) -> Option<Record> {
+        #[derive(Deserialize)]
+        struct Form {
+            z: Option<IgnoredAny>,
         }
+        let form = |text| serde_json::from_str::<Form>(text).ok();
+        let compact = matches!(key, Key::Chunk(..)) && form(text).is_some_and(|f| f.z.is_some());
+        read_as!(key, compact, serde_json::from_str(text))
     }
 }
 
--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -224,6 +224,8 @@
         let key = Key::parse(path).unwrap();
         let value: Value = serde_json::from_str(text).unwrap();
         let record = Record::read(&key, value.clone()).expect(path);
+        let text = Record::read_text(&key, &value.to_string());
+        assert_eq!(text.as_ref(), Some(&record), "{path}: from its text");
         assert_eq!(record.value(formats::OLDEST), value, "{path}");
         assert_eq!(old::value(&key, value.clone()), Some(value), "{path}");
         // In the latest format it says the same.
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -9,6 +9,7 @@
 use glenmount_core::records::{Key, Record, Txn, PREFIX};
 use hyper::Method;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -73,17 +74,19 @@
 }
 
 #[derive(Deserialize)]
-struct ListBody {
-    items: Vec<Item>,
+struct ListBody<'a> {
+    #[serde(borrow)]
+    items: Vec<Item<'a>>,
     #[serde(default)]
     more: bool,
     epoch: u64,
 }
 
 #[derive(Deserialize)]
-struct Item {
+struct Item<'a> {
     k: String,
-    v: Value,
+    #[serde(borrow)]
+    v: &'a RawValue,
     stamp: u64,
 }
 
@@ -140,7 +143,7 @@
                     .into_iter()
                     .filter_map(|i| {
                         let key = Key::parse(&i.k)?;
-                        let record = Record::read(&key, i.v)?;
+                        let record = Record::read_text(&key, i.v.get())?;
                         Some((key, i.stamp, record))
                     })
                     .collect();
@@ -272,17 +275,18 @@
 }
 
 #[derive(Deserialize)]
-struct WatchBody {
+struct WatchBody<'a> {
     epoch: u64,
-    #[serde(default)]
-    news: Vec<News>,
+    #[serde(default, borrow)]
+    news: Vec<News<'a>>,
 }
 
 #[derive(Deserialize)]
-struct News {
+struct News<'a> {
     put: Option<String>,
     remove: Option<String>,
-    v: Option<Value>,
+    #[serde(borrow)]
+    v: Option<&'a RawValue>,
     stamp: u64,
 }
 
@@ -346,7 +350,7 @@
 fn change(news: News) -> Option<(Key, u64, Option<Record>)> {
     if let Some(path) = news.put {
         let key = Key::parse(&path)?;
-        let record = Record::read(&key, news.v?)?;
+        let record = Record::read_text(&key, news.v?.get())?;
         Some((key, news.stamp, Some(record)))
     } else {
         Some((Key::parse(&news.remove?)?, news.stamp, None))
