A quota that is absurd is named at the start, one that is scarce is served and said so

Need: a quota of zero, below zero, not a number, above a million or missing, each with a test; cpu_share and ram_mb were not read at all.

--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -195,6 +195,9 @@
     let begun = Instant::now();
     let seed = RandomState::new().build_hasher().finish();
     let node_name = config.core.node.clone();
+    for (field, value, needs) in &config.scarce {
+        tracing::info!(field, value, needs, "scarce: what there is is served");
+    }
     let mut node = Node::new(config.core, seed, 0, wall_ms());
     let mut answers: HashMap<u64, oneshot::Sender<Reached>> = HashMap::new();
     let mut costs = costs::Costs::new();
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -102,6 +102,47 @@
 #[derive(Debug, Deserialize)]
 struct Quota {
     sockets: u32,
+    cpu_share: Option<f64>,
+    ram_mb: Option<f64>,
+}
+
+/// Cores and MB beyond which a quota is a mistake.
+const QUOTA_MOST: f64 = 1e6;
+/// MB that a node takes with its records and some hundred machines, and share of a core that so few
+/// take: with less it serves what it can, and says so.
+const RAM_SCARCE_MB: f64 = 16.0;
+const CPU_SCARCE: f64 = 0.01;
+
+impl Quota {
+    fn check(&self) -> Result<(), String> {
+        check(
+            self.sockets >= 32,
+            "settings.quota.sockets",
+            "must be at least 32",
+        )?;
+        let parts = [
+            ("settings.quota.cpu_share", self.cpu_share),
+            ("settings.quota.ram_mb", self.ram_mb),
+        ];
+        for (field, value) in parts {
+            let sane = value.is_none_or(|v| v > 0.0 && v <= QUOTA_MOST);
+            check(sane, field, "must be above 0 and at most a million")?;
+        }
+        Ok(())
+    }
+
+    /// Fields by which this node is smaller than it needs to be, each with what it needs.
+    fn scarce(&self) -> Vec<(&'static str, f64, f64)> {
+        let parts = [
+            ("settings.quota.cpu_share", self.cpu_share, CPU_SCARCE),
+            ("settings.quota.ram_mb", self.ram_mb, RAM_SCARCE_MB),
+        ];
+        let less = |(field, value, least): (&'static str, Option<f64>, f64)| {
+            let value = value.filter(|v| *v < least)?;
+            Some((field, value, least))
+        };
+        parts.into_iter().filter_map(less).collect()
+    }
 }
 
 /// Operators' own settings. Every one has a default; see `deploy/operator-settings.xml`.
@@ -188,6 +229,8 @@
     pub state_write_rps: f64,
     pub cloud_rps: f64,
     pub sockets: u32,
+    /// Fields by which this node is smaller than it needs to be: value and need of each.
+    pub scarce: Vec<(&'static str, f64, f64)>,
 }
 
 fn check(ok: bool, field: &str, rule: &str) -> Result<(), String> {
@@ -331,11 +374,7 @@
             next_rps = next_rps.min(rate("settings.state.next.write_rps", rps)?);
         }
     }
-    check(
-        p.quota.sockets >= 32,
-        "settings.quota.sockets",
-        "must be at least 32",
-    )?;
+    p.quota.check()?;
     let list_lag_ms = seconds("settings.cloud.list_lag_s", p.cloud.list_lag_s, 0.0)?;
     let idle_return_ms = match operator.idle_return_s {
         Some(s) => seconds("operator-settings.idle-return-s", s, 1.0)?,
@@ -392,6 +431,7 @@
         // Mostly a single node deals with the cloud; when several do, a refusal is asked again.
         cloud_rps: rate("settings.cloud.rps", p.cloud.rps)? * share.max(CLOUD_SHARE),
         sockets: p.quota.sockets,
+        scarce: p.quota.scarce(),
     })
 }
 
@@ -445,6 +485,44 @@
         assert_eq!(c.state_rps, 50.0);
     }
 
+    #[test]
+    fn a_quota_is_named_where_it_is_absurd_and_served_where_it_is_scarce() {
+        let quota = |field: &str, value: f64| {
+            let mut quota = Quota {
+                sockets: 100,
+                cpu_share: Some(0.1),
+                ram_mb: Some(42.0),
+            };
+            match field {
+                "cpu_share" => quota.cpu_share = Some(value),
+                _ => quota.ram_mb = Some(value),
+            }
+            quota
+        };
+        for field in ["cpu_share", "ram_mb"] {
+            for absurd in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e9] {
+                let error = quota(field, absurd).check().unwrap_err();
+                assert!(error.contains(field), "{absurd}: {error}");
+            }
+            let scarce = quota(field, 0.005);
+            assert!(scarce.check().is_ok());
+            assert!(scarce.scarce()[0].0.ends_with(field));
+            let missing = Quota {
+                sockets: 100,
+                cpu_share: None,
+                ram_mb: None,
+            };
+            assert!(missing.check().is_ok() && missing.scarce().is_empty());
+            assert!(quota(field, 42.0).scarce().is_empty());
+        }
+        let none = Quota {
+            sockets: 0,
+            cpu_share: None,
+            ram_mb: None,
+        };
+        assert!(none.check().unwrap_err().contains("sockets"));
+    }
+
     #[test]
     fn names_the_field_that_is_missing_or_absurd() {
         let cases = [
--- a/crates/xtask/src/sets.rs
+++ b/crates/xtask/src/sets.rs
@@ -17,8 +17,8 @@
     "more/fleet/melekt-shared-fleet.toml",
 ];
 const OPERATORS: [&str; 4] = [
-    "more/rutazona-central-ops.toml",
-    "more/melekt-shared-ops.toml",
+    "lean/rutazona-central-lean.toml",
+    "lean/melekt-shared-lean.toml",
     "change/rutazona-central-next.toml",
     "change/melekt-shared-next.toml",
 ];
