What is known of a machine's life is asked of Sight alone; costs takes three looks at the clock

Read once more: Node::last_sign said again what Sight::latest does, and newer_elsewhere stood twice as a wrapper of Heard::older_than. The text of the line costs said two looks at the clock an event; they are three.

--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -669,7 +669,8 @@
     /// Machines that report to this node now.
     pub(crate) fn load(&self) -> usize {
         let fresh = self.now.saturating_sub(2 * self.settings.report_ms).max(1);
-        let here = |(id, h): &(&String, &Heard)| h.at >= fresh && !self.newer_elsewhere(id, h);
+        let here =
+            |(id, h): &(&String, &Heard)| h.at >= fresh && !h.older_than(self.standby.told(id));
         self.heard.iter().filter(here).count()
     }
 
@@ -775,10 +776,6 @@
         overdue
     }
 
-    fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
-        self.standby.newer_elsewhere(id, own)
-    }
-
     /// Milliseconds between a worker's last check-in at one node and its first at another.
     pub(crate) fn move_time(&self) -> Millis {
         WORKER_MOVE_MS + self.settings.report_due_ms()
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -61,8 +61,7 @@
     /// The latest sign of life of a machine that any node is known to have had, if any: a check-in
     /// or an answer to a direct command.
     pub(crate) fn last_sign(&self, id: &str) -> Option<Millis> {
-        let answered = self.signs.of(id).answered;
-        self.last_check_in(id).max(answered)
+        self.sight(id).latest()
     }
 
     /// Goes once through the machines that are up.
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -539,11 +539,6 @@
         self.told.get(id)
     }
 
-    /// Whether a sibling got a later check-in of a machine than this node.
-    pub fn newer_elsewhere(&self, id: &str, own: &Heard) -> bool {
-        own.older_than(self.told.get(id))
-    }
-
     // ---- How it judges ------------------------------------------------------------------
 
     fn refusal(&self, now: Millis, wall: WallMs, beat: &Beat) -> Option<Dropped> {
--- a/crates/glenmount/src/costs.rs
+++ b/crates/glenmount/src/costs.rs
@@ -1,6 +1,6 @@
 //! What this process's time goes into: counted by kind of event, logged every so often.
 //!
-//! Two looks at the clock an event. What runs between two events - HTTP, the runtime, the kernel -
+//! Three looks at the clock an event. What runs between two events - HTTP, the runtime, the kernel -
 //! is not in here: it is the difference to what the platform counts.
 
 use glenmount_core::node::Event;
