Meetings of troubles: copies, machines that do not hear, unanswered writes, a node cut off alone

Going through the code for each found: - while old and new versions serve, a node that the state service refuses alone, and whose siblings then lose it as well, took the outage for one of all and renewed leases for as long as it lasted: what a sibling had told to be cancelled in between ran on (ran_cancelled in the story refused_alone_then_down_for_all). Unsettled it now renews as long as is in time for that, no longer. - a copy of a machine's last report counted as a sign of life, and could take the place of a check-in that was held. - machines whose reports arrive and that hear nothing drew work again and again. They count as unreached until they answer. - a transaction without an answer held up all others of its node for 1.2 s. It is now passed after some 0.4 s: both rest on the same revisions. - a node cut off from state and siblings stayed ready, and kept its workers for 20 s.

--- a/crates/core/src/cancels.rs
+++ b/crates/core/src/cancels.rs
@@ -126,13 +126,12 @@
         if let Some(node) = self.sibling_with_state() {
             return WorkerReply::Elsewhere { node: Some(node) };
         }
-        let limit = self
-            .settings
-            .cancel_ms
-            .saturating_sub(self.settings.lease_ms + CANCEL_MARGIN_MS);
-        let common = self.fresh_siblings().count() + 1 == self.settings.nodes.len();
-        let early = self.loaded && (common || self.state_age() < limit);
-        let renews = early || self.renewing_is_safe(report) && !self.turn_away(&report.machine);
+        let renews = match self.renewing_is_safe(report) {
+            true => self.keeps(&report.machine),
+            // Somebody may have been told of a cancellation since the last answer, also of one that
+            // came a moment before all lost the state service.
+            false => self.lost_lately(),
+        };
         let token = self.machine_token(&report.machine).unwrap_or(0);
         // Siblings may have raised it since this node was cut off. Nothing is started, so a start
         // that this bars stays barred.
@@ -161,31 +160,47 @@
         tasks.map(stop).take(REPLY_ORDERS).collect()
     }
 
-    /// Whether a worker is sent to look for another node. A node that is cut off alone must not
-    /// keep workers that others would serve; one that is cut off with its zone is all they have.
-    /// Which it is shows in who still reports: only machines of its own zone, or those of others
-    /// as well. Where all are in one zone each worker is sent away once, if its lease allows for
-    /// the way round: one that is back found no other.
-    fn turn_away(&mut self, id: &str) -> bool {
-        if self.settings.zones.len() > 1 {
-            let recent = 2 * self.settings.report_ms;
-            let here = self.settings.zone.as_str();
-            let mut zones = self.reporting.iter();
-            return zones.any(|(zone, at)| zone != here && self.now < at + recent);
+    /// Whether the state service answered so lately that what somebody was told since is in time
+    /// though this node renews: the lease may begin with the last answer.
+    fn lost_lately(&self) -> bool {
+        let limit = self
+            .settings
+            .cancel_ms
+            .saturating_sub(self.settings.lease_ms + CANCEL_MARGIN_MS);
+        self.loaded && self.state_age() < limit
+    }
+
+    /// Whether a worker is kept, rather than sent to look for another node. A node that is cut off
+    /// alone must not keep workers that others would serve; one that is cut off with its zone is all
+    /// they have. Which it is shows in who still reports: only machines of its own zone, or those of
+    /// others as well. Else each worker is sent away once, if its lease allows for the way round: one
+    /// that is back found no other.
+    fn keeps(&mut self, id: &str) -> bool {
+        let common = self.fresh_siblings().count() + 1 == self.settings.nodes.len();
+        if self.loaded && common {
+            return true;
+        }
+        let several = self.settings.zones.len() > 1;
+        let recent = 2 * self.settings.report_ms;
+        let here = self.settings.zone.as_str();
+        let mut zones = self.reporting.iter();
+        let foreign = zones.any(|(zone, at)| zone != here && self.now < at + recent);
+        if several && !foreign {
+            return true;
         }
         let lease_ms = self.settings.lease_ms;
         let round = (self.settings.nodes.len() as u64 - 1) * WORKER_MOVE_MS
             + self.settings.report_due_ms()
             + SILENCE_SPARE_MS;
         if round >= lease_ms {
-            return true;
+            return self.lost_lately();
         }
         // Those that come back to a node that was away have looked already.
         let sent = self.turned_away.get(id).copied();
         if self.now < self.woke + lease_ms || sent.is_some_and(|at| self.now < at + 2 * lease_ms) {
-            return false;
+            return true;
         }
         self.turned_away.insert(id.to_string(), self.now);
-        true
+        false
     }
 }
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -57,8 +57,14 @@
         self.stats.check_ins += 1;
         let (session, tally) = mark(&report);
         let at = self.now;
+        if self.sight(&report.machine).knows((session, tally)) {
+            // A copy, or one that a newer overtook: its worker waits for no answer, and it is no sign of
+            // life. What it shows the newer one showed as well.
+            self.worker(request, WorkerReply::NotNow);
+            return;
+        }
+        self.note_hearing(&report);
         match self.heard.get_mut(&report.machine) {
-            Some(heard) if (session, tally) < (heard.session, heard.tally) => {}
             Some(heard) => (heard.at, heard.session, heard.tally) = (at, session, tally),
             None => {
                 let heard = Heard { at, session, tally };
@@ -74,6 +80,11 @@
             }
             None => {}
         }
+        self.take_check_in(request, report);
+    }
+
+    /// Answers a check-in, or holds it.
+    fn take_check_in(&mut self, request: RequestId, report: Report) {
         if self.awaits_view() {
             // Just started, or awake again: the view will be current in a moment, while another
             // node would be a second away.
@@ -106,6 +117,52 @@
         }
     }
 
+    /// Notes what a check-in says of whether its machine hears any node. One that does not goes on
+    /// reporting, and once its lease has ended it looks free: its reports alone are no reason to place
+    /// work there. It counts as unreached until it answers a question (`ask_unreached`).
+    fn note_hearing(&mut self, report: &Report) {
+        let id = &report.machine;
+        let sight = self.sight(id);
+        let half = self.settings.lease_ms / 2;
+        let lately = sight.check_in().is_some_and(|at| self.now < at + half);
+        if !lately {
+            return;
+        }
+        // Its lease ended though nodes got its reports.
+        if sight.session().is_some_and(|known| known < report.session) {
+            self.signs.note(id).unreached = Some(self.now);
+            return;
+        }
+        // It left a node that is well.
+        let by = sight.told.filter(|_| !sight.reports_here());
+        let left = by.is_some_and(|t| self.standby.is_well(self.now, t.by()));
+        if left && sight.of.may_be_asked(self.now) {
+            self.signs.note(id).asked = Some(self.now);
+            self.command_now(id.clone(), Vec::new());
+        }
+    }
+
+    /// Asks machines that have reported since they failed to answer whether they hear again.
+    fn ask_unreached(&mut self) {
+        let back = |(id, m, _): &(&str, &MachineRecord, u64)| {
+            let sight = self.sight(id);
+            let since = sight.of.silent_since();
+            m.is_up()
+                && since.is_some_and(|at| sight.check_in() >= Some(at))
+                && sight.of.may_be_asked(self.now)
+                && !self.zone_quiet(&m.zone)
+        };
+        let machines = self.cache.machines().filter(back);
+        let ids: Vec<String> = machines
+            .map(|(id, ..)| id.to_string())
+            .take(DEAF_ASKED)
+            .collect();
+        for id in ids {
+            self.signs.note(&id).asked = Some(self.now);
+            self.command_now(id, Vec::new());
+        }
+    }
+
     /// Whether the records, or a proof that they are current, are about to come.
     fn awaits_view(&self) -> bool {
         if !self.settings.checks.view {
@@ -151,7 +208,7 @@
             .collect();
         for id in early {
             if let Some(held) = self.held.remove(&id) {
-                self.check_in(held.request, held.report);
+                self.take_check_in(held.request, held.report);
             }
         }
     }
@@ -408,19 +465,18 @@
 
     /// Sends the starts of a committed claim. Each is sent once: were it sent again, a late
     /// copy could start the task after its result was taken and forgotten.
-    pub(crate) fn command_starts(&mut self, claimed: &[(TaskId, String)]) {
+    pub(crate) fn command_starts(&mut self, claimed: &[Claimed]) {
         let mut by_machine: BTreeMap<String, (u64, u64, Vec<Order>)> = BTreeMap::new();
-        for (task, id) in claimed {
-            let booking = self.cache.booking(id, task).map(|p| &p.booking);
-            let open = self.cache.open_job(&task.job).is_some();
-            if let Some((attempt, (session, token))) = booking
-                .and_then(|b| Some((b.attempt, b.direct?)))
-                .filter(|_| open)
-            {
-                let entry = by_machine.entry(id.clone());
+        for c in claimed {
+            let booking = self.cache.booking(&c.machine, &c.task).map(|p| &p.booking);
+            // An answer that comes late may find another attempt booked there, whose start has gone.
+            let booking = booking.filter(|b| b.attempt == c.attempt);
+            let open = self.cache.open_job(&c.task.job).is_some();
+            if let Some((session, token)) = booking.and_then(|b| b.direct).filter(|_| open) {
+                let entry = by_machine.entry(c.machine.clone());
                 let (_, _, orders) = entry.or_insert((session, token, Vec::new()));
-                let task = task.clone();
-                tracing::info!(%task, attempt, machine = id, "start sent");
+                let (task, attempt) = (c.task.clone(), c.attempt);
+                tracing::info!(%task, attempt, machine = c.machine, "start sent");
                 orders.push(Order::Start { task, attempt });
             }
         }
@@ -702,7 +758,9 @@
             }
             Reach::Silent => {
                 let zone = self.cache.machine(&machine).map(|m| &m.zone);
-                if !zone.is_some_and(|z| self.zone_quiet(z)) {
+                // One that was not reached before says nothing of this node's own reach.
+                let again = self.signs.of(&machine).silent_since().is_some();
+                if !again && !zone.is_some_and(|z| self.zone_quiet(z)) {
                     self.hearing.unanswered();
                 }
                 self.signs.note(&machine).unreached = Some(self.now);
@@ -828,6 +886,7 @@
             }
         }
         self.judge_lost_zones();
+        self.ask_unreached();
         let mut condemned: Vec<(String, &'static str)> = Vec::new();
         let told = (self.settings.cancel_ms as f64 * CANCEL_DELETE_SHARE) as u64;
         for (job, counts) in self.cache.counted() {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -288,7 +288,7 @@
     },
     /// Records runs of a class.
     Learn(ClassId, Vec<Batch>),
-    Lookup(Vec<(TaskId, String)>),
+    Lookup(Vec<Claimed>),
     NewHires(Vec<u64>),
     Hire(u64),
     HireDone(u64),
@@ -306,6 +306,22 @@
     Term,
 }
 
+/// An operation without an answer yet.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    pub purpose: Purpose,
+    pub txn: Option<Txn>,
+    pub since: Millis,
+}
+
+/// A task that a transaction claims: under which attempt, for which machine.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Claimed {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub machine: String,
+}
+
 #[derive(Debug)]
 pub(crate) struct Heard {
     pub at: Millis,
@@ -354,7 +370,7 @@
     pub(crate) changed: bool,
     pub(crate) out: Vec<Effect>,
     pub(crate) next_token: Token,
-    pub(crate) pending: HashMap<Token, (Purpose, Option<Txn>)>,
+    pub(crate) pending: HashMap<Token, Pending>,
     // Proof of freshness
     pub(crate) last_ok: Option<Millis>,
     pub(crate) last_beat_read: Millis,
@@ -450,8 +466,10 @@
     pub(crate) moves: Moves,
     pub(crate) lookup_wanted: bool,
     pub(crate) lookup_at: Millis,
-    /// A transaction on bookings is on its way.
-    pub(crate) writing: bool,
+    /// The latest transaction on bookings that is on its way, and since when.
+    pub(crate) writing: Option<(Token, Millis)>,
+    /// How long the state service takes, on the whole, in milliseconds.
+    pub(crate) state_takes_ms: f64,
     /// After a lost one: the revision the copy must have reached before the next try, and
     /// a time after which to try in any case.
     pub(crate) write_retry: Option<(u64, Millis)>,
@@ -557,7 +575,8 @@
             moves: Moves::new(now),
             lookup_wanted: false,
             lookup_at: now,
-            writing: false,
+            writing: None,
+            state_takes_ms: 0.0,
             write_retry: None,
             last_house: None,
             ticked_at: now,
@@ -694,11 +713,31 @@
     pub(crate) fn token(&mut self, purpose: Purpose, txn: Option<Txn>) -> Token {
         let token = self.next_token;
         self.next_token += 1;
-        self.pending.insert(token, (purpose, txn));
+        let since = self.now;
+        let pending = Pending {
+            purpose,
+            txn,
+            since,
+        };
+        self.pending.insert(token, pending);
         token
     }
 
-    pub(crate) fn commit(&mut self, txn: Txn, purpose: Purpose, priority: Priority) {
+    /// Commits changes of bookings, one transaction after another.
+    pub(crate) fn commit_bookings(&mut self, txn: Txn, purpose: Purpose, priority: Priority) {
+        let token = self.commit(txn, purpose, priority);
+        self.writing = Some((token, self.now));
+    }
+
+    /// Milliseconds after which a transaction counts as unanswered, though its answer may yet come:
+    /// it may be carried out seconds later, and what waits does not wait for that. Whatever is sent
+    /// instead rests on the same revisions, so only one of them takes effect.
+    pub(crate) fn unanswered_ms(&self) -> Millis {
+        let usual = (self.state_takes_ms * UNANSWERED_TIMES) as Millis;
+        usual.clamp(UNANSWERED_LEAST_MS, UNANSWERED_MOST_MS)
+    }
+
+    pub(crate) fn commit(&mut self, txn: Txn, purpose: Purpose, priority: Priority) -> Token {
         self.writes.take(txn.changes.len());
         self.stats.sent(&purpose, &txn);
         let token = self.token(purpose, Some(txn.clone()));
@@ -707,6 +746,7 @@
             op: StateOp::Txn(txn),
             priority,
         });
+        token
     }
 
     pub(crate) fn cloud(&mut self, op: CloudOp, purpose: Purpose) {
@@ -753,12 +793,22 @@
             (!self.workers_ok() && elsewhere).then_some("workers do not reach it")
         } else if self.sibling_with_state().is_some() {
             Some("the state service is not reached")
+        } else if self.is_alone() {
+            Some("neither the state service nor a sibling is reached")
         } else {
             let waking = self.stale && self.now < self.woke + GAP_READY_MS;
             waking.then_some("it stood still")
         }
     }
 
+    /// Cut off from the state service and from all siblings, and for longer than both may hesitate:
+    /// most likely others serve users, who would poll here in vain for as long as the cut lasts.
+    fn is_alone(&self) -> bool {
+        self.settings.nodes.len() > 1
+            && self.fresh_siblings().next().is_none()
+            && self.state_age() >= ALONE_MS
+    }
+
     /// Logs when a trouble that operators ask about begins and ends.
     fn note_troubles(&mut self) {
         let not_ready = self.not_ready();
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -127,8 +127,19 @@
             self.fetching.insert(id, self.now + ms);
         }
         if !plan.claimed.is_empty() {
-            self.writing = true;
-            self.commit(plan.txn, Purpose::Lookup(plan.claimed), Priority::Claim);
+            let claimed = plan.claimed.into_iter().map(|(task, machine)| {
+                let n = self
+                    .cache
+                    .job(&task.job)
+                    .map_or(0, |j| j.chunk_of(task.index));
+                Claimed {
+                    attempt: self.cache.claim_stamp(&task.job, n),
+                    task,
+                    machine,
+                }
+            });
+            let purpose = Purpose::Lookup(claimed.collect());
+            self.commit_bookings(plan.txn, purpose, Priority::Claim);
         }
         // What is not heard yet is not missing: nothing is stopped or rented before a round of reports.
         if !full && settled {
@@ -257,8 +268,7 @@
         let large = draft.drop_oversized(self.settings.value_bytes);
         if !draft.is_empty() {
             let txn = draft.finish();
-            self.writing = true;
-            self.commit(txn, Purpose::Stop(chosen), Priority::Claim);
+            self.commit_bookings(txn, Purpose::Stop(chosen), Priority::Claim);
         }
         self.too_large(large);
     }
@@ -365,8 +375,7 @@
             let large = draft.drop_oversized(self.settings.value_bytes);
             if !draft.is_empty() {
                 let txn = draft.finish();
-                self.writing = true;
-                self.commit(txn, Purpose::Stop(stops), Priority::Claim);
+                self.commit_bookings(txn, Purpose::Stop(stops), Priority::Claim);
             }
             self.too_large(large);
         } else if under_way == 0 && self.now >= self.quiet_since + DISPENSABLE_AFTER_MS {
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -172,14 +172,13 @@
         }
         self.lookup_next = true;
         self.flushed_at = if full { 0 } else { self.now };
-        self.writing = true;
         let txn = draft.finish();
         let purpose = Purpose::Flush {
             armed,
             returning,
             released,
         };
-        self.commit(txn, purpose, Priority::Result);
+        self.commit_bookings(txn, purpose, Priority::Result);
         self.too_large(large);
     }
 
--- a/crates/core/src/signs.rs
+++ b/crates/core/src/signs.rs
@@ -1,6 +1,7 @@
 //! What this node itself has noted of each machine, beside its check-ins: one entry a machine, since
 //! it is looked at several times a second for every one of them.
 
+use crate::constants::DEAF_ASKED_MS;
 use crate::model::Millis;
 use crate::node::{Heard, Node};
 use crate::standby::Told;
@@ -25,6 +26,17 @@
     pub asked: Option<Millis>,
 }
 
+impl OfMachine {
+    /// Since when it has answered no direct command, if the last one got no answer.
+    pub fn silent_since(&self) -> Option<Millis> {
+        self.unreached.filter(|at| self.answered < Some(*at))
+    }
+    /// Whether it was not asked just now.
+    pub fn may_be_asked(&self, now: Millis) -> bool {
+        self.asked.is_none_or(|at| now >= at + DEAF_ASKED_MS)
+    }
+}
+
 /// All that is known of a machine's life, looked up once: lookups and judging ask for every part of
 /// it, of every machine.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +61,12 @@
         let own = self.own.map(|h| h.session);
         own.max(self.told.map(|t| t.session))
     }
+    /// Whether some node has got this check-in of it already, or a later one.
+    pub fn knows(&self, mark: (u64, u64)) -> bool {
+        let own = self.own.map(|h| (h.session, h.tally));
+        let told = self.told.map(|t| (t.session, t.tally));
+        own.max(told).is_some_and(|known| mark <= known)
+    }
     /// Whether its latest check-in, as far as is known, came to this node.
     pub fn reports_here(&self) -> bool {
         self.own.is_some_and(|h| !h.older_than(self.told))
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -170,18 +170,14 @@
         self.settings.checks.zones && self.zones.quiet_since(zone).is_some()
     }
 
-    /// Whether work may be placed on a machine, or room made on it: it was heard lately, has not
-    /// failed to answer since, and its zone is not cut off.
+    /// Whether work may be placed on a machine, or room made on it: it was heard lately, has answered
+    /// since it last failed to, and its zone is not cut off. That it reports does not show that it hears.
     pub(crate) fn reachable(&self, id: &str, zone: &str) -> bool {
         self.reachable_by(&self.sight(id), zone)
     }
 
     pub(crate) fn reachable_by(&self, sight: &Sight, zone: &str) -> bool {
-        let failed = sight.of.unreached;
-        self.recently_heard_of(sight)
-            && !self.zone_quiet(zone)
-            && failed
-                .is_none_or(|at| self.heard_at_of(sight) >= at.saturating_sub(COMMAND_LIMIT_MS))
+        self.recently_heard_of(sight) && !self.zone_quiet(zone) && sight.of.silent_since().is_none()
     }
 }
 
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -119,6 +119,13 @@
     by: String,
 }
 
+impl Told {
+    /// The sibling that got its latest check-in.
+    pub fn by(&self) -> &str {
+        &self.by
+    }
+}
+
 impl Heard {
     /// Whether a sibling is known to have got a later check-in.
     pub fn older_than(&self, told: Option<&Told>) -> bool {
@@ -526,6 +533,12 @@
         unlinked || self.fresh(now).any(|s| s.beat.node == node)
     }
 
+    /// Whether a sibling is heard in time and reaches state service and workers.
+    pub fn is_well(&self, now: Millis, node: &str) -> bool {
+        let mut fresh = self.fresh(now).filter(|s| s.beat.node == node);
+        fresh.any(|s| s.sign == Sign::Well && s.beat.state_ok && s.beat.workers_ok)
+    }
+
     pub fn sibling(&self, node: &str) -> Option<&Sibling> {
         self.siblings.get(node)
     }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -226,13 +226,22 @@
     }
 
     pub(crate) fn state_answer(&mut self, token: Token, answer: StateAnswer) {
-        let Some((purpose, txn)) = self.pending.remove(&token) else {
+        let Some(Pending {
+            purpose,
+            txn,
+            since,
+        }) = self.pending.remove(&token)
+        else {
             return;
         };
         match &answer {
             StateAnswer::Unavailable | StateAnswer::NoAnswer => {}
             _ if token < self.woke_token => {}
-            _ => self.last_ok = Some(self.now),
+            _ => {
+                self.last_ok = Some(self.now);
+                let took = (self.now - since) as f64;
+                self.state_takes_ms += STATE_TAKES_PART * (took - self.state_takes_ms);
+            }
         }
         let committed = matches!(answer, StateAnswer::Committed { .. });
         // What the watch has passed is in the copy, as is all that became of it since: a record
@@ -303,23 +312,21 @@
                 returning,
                 released,
             } => {
-                self.written(&answer);
+                self.written(token, &answer);
                 if committed {
                     self.count_runs(released);
                 }
                 self.flushed(armed, returning, committed);
             }
             Purpose::Lookup(claimed) => {
-                self.written(&answer);
+                self.written(token, &answer);
                 if committed {
-                    for (task, machine) in &claimed {
+                    for c in &claimed {
+                        let (task, machine) = (&c.task, &c.machine);
                         tracing::info!(%task, machine, "claimed");
                         let at = self.cache.job(&task.job).map_or(self.wall, |j| j.at);
-                        let booking = self.cache.booking(machine, task);
-                        if let Some(attempt) = booking.map(|p| p.booking.attempt) {
-                            let waited = self.wall.saturating_sub(at);
-                            self.stats.claimed(task, attempt, waited, self.now);
-                        }
+                        let waited = self.wall.saturating_sub(at);
+                        self.stats.claimed(task, c.attempt, waited, self.now);
                     }
                     self.command_starts(&claimed);
                     self.lookup_wanted = true;
@@ -355,7 +362,7 @@
                 }
             }
             Purpose::Stop(stops) => {
-                self.written(&answer);
+                self.written(token, &answer);
                 for (id, task) in stops.iter().filter(|_| committed) {
                     self.command_stop(id, task);
                 }
@@ -399,15 +406,21 @@
 
     /// When to try again what did not commit: once the watch has brought what stood in the
     /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
-    fn written(&mut self, answer: &StateAnswer) {
-        self.writing = false;
-        self.write_retry = self.retry_after(answer);
+    fn written(&mut self, token: Token, answer: &StateAnswer) {
         self.changed = true;
+        // Another has been sent since it counted as unanswered.
+        if self.writing.is_some_and(|(latest, _)| latest != token) {
+            return;
+        }
+        self.writing = None;
+        self.write_retry = self.retry_after(answer);
     }
 
     /// Whether a transaction on bookings may be sent now.
     pub(crate) fn may_write(&self) -> bool {
-        !self.writing
+        let unanswered = self.unanswered_ms();
+        self.writing
+            .is_none_or(|(_, at)| self.now >= at + unanswered)
             && self
                 .write_retry
                 .is_none_or(|(epoch, at)| self.cache.epoch >= epoch || self.now >= at)
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -153,7 +153,7 @@
             return;
         };
         let round = self.settings.report_due_ms();
-        let busy = !self.asks.is_empty() || !self.held.is_empty() || self.writing;
+        let busy = !self.asks.is_empty() || !self.held.is_empty() || self.writing.is_some();
         let workers = self.now < since + round && self.load() > 0;
         let alone = self.standby.refuge(self.now, 0).is_none();
         if !busy && (!workers || alone) || self.now >= since + round + LEAVE_SPARE_MS {
--- a/crates/world/src/day.rs
+++ b/crates/world/src/day.rs
@@ -176,6 +176,29 @@
         count: usize,
         for_s: f64,
     },
+    /// The busiest node loses the state service and its siblings, not its workers or users.
+    CutAlone {
+        for_s: f64,
+    },
+    /// The state service answers the busiest node alone with 503.
+    RefuseState {
+        for_s: f64,
+    },
+    /// Answers and commands to these machines are lost; their reports arrive.
+    Deaf {
+        count: usize,
+        for_s: f64,
+    },
+    /// That share of transactions gets no answer and is carried out seconds later.
+    LateWrites {
+        share: f64,
+        for_s: f64,
+    },
+    /// Of that share of the reports a copy arrives again later.
+    LateReports {
+        share: f64,
+        for_s: f64,
+    },
     Burst {
         class: String,
         factor: f64,
@@ -261,6 +284,13 @@
             if zone.is_some_and(|z| !self.zones.contains(z)) {
                 return Err("trouble: unknown zone".into());
             }
+            let share = match &trouble.what {
+                What::LateWrites { share, .. } | What::LateReports { share, .. } => *share,
+                _ => 0.0,
+            };
+            if !(0.0..=1.0).contains(&share) {
+                return Err("trouble: share: must be between 0 and 1".into());
+            }
         }
         Ok(())
     }
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -27,7 +27,12 @@
     CutPeers(usize),
     Outage,
     Zone,
+    Alone(usize),
+    Refused(usize),
     Machines(Vec<String>),
+    Deaf(Vec<String>),
+    LateWrites,
+    LateReports,
     Burst(usize, f64),
 }
 
@@ -342,6 +347,30 @@
                 }
                 self.ends.push((now + ms(for_s), Ends::Machines(names)));
             }
+            (What::CutAlone { for_s }, Some(n)) => {
+                let slot = &mut self.w.nodes[n];
+                (slot.cut_from_state, slot.cut_from_peers) = (true, true);
+                until(for_s, Ends::Alone(n));
+            }
+            (What::RefuseState { for_s }, Some(n)) => {
+                self.w.nodes[n].refused = true;
+                until(for_s, Ends::Refused(n));
+            }
+            (What::Deaf { count, for_s }, _) => {
+                let names = self.some_machines(count);
+                for name in &names {
+                    self.w.workers.get_mut(name).expect("it lives").deaf = true;
+                }
+                self.ends.push((now + ms(for_s), Ends::Deaf(names)));
+            }
+            (What::LateWrites { share, for_s }, _) => {
+                self.w.mishaps.txn_late = share;
+                until(for_s, Ends::LateWrites);
+            }
+            (What::LateReports { share, for_s }, _) => {
+                self.w.mishaps.report_twice = share;
+                until(for_s, Ends::LateReports);
+            }
             (
                 What::Burst {
                     class,
@@ -374,6 +403,13 @@
                 Ends::CutPeers(n) => self.w.nodes[n].cut_from_peers = false,
                 Ends::Outage => self.w.state_down = false,
                 Ends::Zone => self.w.join_zone(),
+                Ends::Alone(n) => {
+                    let slot = &mut self.w.nodes[n];
+                    (slot.cut_from_state, slot.cut_from_peers) = (false, false);
+                }
+                Ends::Refused(n) => self.w.nodes[n].refused = false,
+                Ends::LateWrites => self.w.mishaps.txn_late = 0.0,
+                Ends::LateReports => self.w.mishaps.report_twice = 0.0,
                 Ends::Machines(names) => {
                     for name in names {
                         if let Some(worker) = self.w.workers.get_mut(&name) {
@@ -381,6 +417,13 @@
                         }
                     }
                 }
+                Ends::Deaf(names) => {
+                    for name in names {
+                        if let Some(worker) = self.w.workers.get_mut(&name) {
+                            worker.deaf = false;
+                        }
+                    }
+                }
                 Ends::Burst(at, factor) => self.factor[at] /= factor,
             }
         }
