--- a/crates/core/tests/meetings.rs
+++ b/crates/core/tests/meetings.rs
@@ -124,7 +124,12 @@
         .unwrap_or(0);
     let mut starts = 0;
     for seed in from..from + seeds() {
-        let mut w = World::new(7_000 + seed, 3, 6);
+        // Some begin with the version before, which is replaced meanwhile.
+        let rolls = seed % 4 == 1;
+        let mut w = match rolls {
+            true => World::old(7_000 + seed, 3, 6),
+            false => World::new(7_000 + seed, 3, 6),
+        };
         w.run(9_000);
         w.capacity = 4;
         if seed % 3 == 0 {
@@ -208,6 +213,10 @@
                     }
                 }
                 15 => w.heal(),
+                16 if rolls => {
+                    let (n, back) = (w.rng.gen_range(0..3), w.rng.gen_range(100..3_000));
+                    w.upgrade(n, back);
+                }
                 _ => {
                     for id in jobs.clone() {
                         let n = w.rng.gen_range(0..3);
@@ -229,6 +238,10 @@
         w.heal();
         w.capacity += 6;
         w.until(75_000, "awake", |w| (0..3).all(|n| !w.frozen(n)));
+        for n in (0..3).filter(|_| rolls) {
+            w.upgrade(n, 500);
+            w.run(3_000);
+        }
         w.until(10_000, "back", |w| w.nodes.iter().all(|n| n.node.is_some()));
         // What was accepted stays known: within 75 s each gets an answer, whoever is asked.
         let told: Vec<String> = jobs
@@ -529,3 +542,108 @@
         assert!((30..120).contains(&small), "{small} small ones are done");
     }
 }
+
+/// Reports of an earlier session and of an earlier attempt arrive again, long after newer ones, also at
+/// nodes that have just started and remember none: nothing is taken for running that is not, nothing
+/// that runs is stopped, and all is done once.
+#[test]
+fn reports_of_earlier_sessions_and_attempts_come_again() {
+    for seed in 0..6 {
+        let mut w = World::new(140 + seed, 3, 4);
+        w.run(9_000);
+        w.run_ms = 30_000;
+        let r = w.submit(0, job("j-1", 3));
+        w.answer(r);
+        w.until(20_000, "runs", |w| w.running("j-1") == 3);
+        w.run(4_000);
+        let names: Vec<String> = w.workers.keys().cloned().collect();
+        let mut old: Vec<Report> = names.iter().map(|id| w.report_of(id)).collect();
+        // Their leases end, and what ran there begins anew.
+        for name in &names[..2] {
+            w.workers.get_mut(name).unwrap().cut = true;
+        }
+        w.run(14_000);
+        old.extend(
+            names
+                .iter()
+                .filter_map(|id| w.workers.contains_key(id).then(|| w.report_of(id))),
+        );
+        w.heal();
+        for round in 0..20 {
+            if round % 6 == 2 {
+                w.crash(round % 3, 300);
+            }
+            for report in &old {
+                w.report_again((round + seed as usize) % 3, report);
+            }
+            w.run(1_500);
+        }
+        w.until(120_000, "done", |w| w.job_phase("j-1") == Some(Phase::Done));
+        w.run(20_000);
+        w.check_records();
+        assert!(w.starts <= 3 + 6, "{} starts of 3 tasks", w.starts);
+    }
+}
+
+/// The node that all machines report to ends while half of them can't be reached, or do not hear the
+/// next one's answer, for less than their leases allow: nothing that runs there ends, or runs twice.
+#[test]
+fn a_node_ends_while_machines_with_long_tasks_hear_nothing() {
+    for (seed, deaf) in (0..6).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let mut w = World::new(150 + seed, 3, 8);
+        long_leases(&mut w);
+        let mut w = led(w, 12);
+        let names: Vec<String> = w.workers.keys().take(4).cloned().collect();
+        let sets = |w: &mut World, on: bool| {
+            for name in &names {
+                if let Some(worker) = w.workers.get_mut(name) {
+                    match deaf {
+                        true => worker.deaf = on,
+                        false => worker.cut = on,
+                    }
+                }
+            }
+        };
+        w.crash(0, [200, 8_000][seed as usize % 2]);
+        sets(&mut w, true);
+        w.run(5_000);
+        sets(&mut w, false);
+        w.run(40_000);
+        assert_eq!(
+            (w.starts, w.running("j-1"), w.killed),
+            (12, 12, 0),
+            "deaf {deaf}"
+        );
+        w.check_records();
+    }
+}
+
+/// Commands and their answers are held up for seconds, for machines that stand still meanwhile and go
+/// on: what comes then was barred, or is what was meant.
+#[test]
+fn commands_held_up_for_seconds_reach_machines_that_go_on() {
+    for seed in 0..6 {
+        let mut w = World::new(160 + seed, 3, 5);
+        w.run(9_000);
+        w.mishaps.command_late = 0.6;
+        for i in 0..8 {
+            w.submit(i % 3, job(&format!("j-{i}"), 3));
+            let names: Vec<String> = w.workers.keys().cloned().collect();
+            let name = &names[i % names.len()];
+            w.workers.get_mut(name).unwrap().cut = i % 2 == 0;
+            w.run(1_500);
+            if i % 3 == 1 {
+                w.cancel(i % 3, &format!("j-{i}"));
+                w.crash(i % 3, 400);
+            }
+            w.run(1_500);
+            w.heal();
+        }
+        w.run(60_000);
+        w.mishaps = Mishaps::default();
+        let over = |w: &World| (0..8).all(|i| w.job_phase(&format!("j-{i}")) != Some(Phase::Open));
+        w.until(120_000, "over", over);
+        w.run(60_000);
+        w.check_records();
+    }
+}
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -1585,7 +1585,8 @@
         }
     }
 
-    fn report_of(&self, machine: &str) -> Report {
+    /// What a machine would report now.
+    pub fn report_of(&self, machine: &str) -> Report {
         let w = &self.workers[machine];
         Report {
             machine: w.name.clone(),
@@ -1617,7 +1618,12 @@
             tasks: Vec::new(),
             ..self.report_of(machine)
         };
-        self.at(1, Act::Arrive(n, report, 0));
+        self.report_again(n, &report);
+    }
+
+    /// Lets a report arrive at a node once more, as it was.
+    pub fn report_again(&mut self, n: usize, report: &Report) {
+        self.at(1, Act::Arrive(n, report.clone(), 0));
     }
 
     fn send_report(&mut self, name: &str) {
