--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -115,14 +115,9 @@
 /// The same while the state service does not answer: outages last longer than that.
 pub const OUTAGE_RETRY_AFTER_S: u32 = 2;
 
-/// Part of how long the state service takes that a new answer replaces.
-pub const STATE_TAKES_PART: f64 = 0.05;
-/// A transaction counts as unanswered after so many times that, ...
-pub const UNANSWERED_TIMES: f64 = 6.0;
-/// ... milliseconds at the least, since answers now and then take a few hundred, ...
+/// Milliseconds at the least after which a transaction that was sent counts as unanswered: answers now
+/// and then take a few hundred.
 pub const UNANSWERED_LEAST_MS: u64 = 400;
-/// ... and at most, as the client gives up then.
-pub const UNANSWERED_MOST_MS: u64 = 1_200;
 /// Milliseconds without the state service and without any sibling after which a node takes itself to be
 /// cut off alone, and asks the balancer to send users elsewhere: within it siblings are missed as well.
 pub const ALONE_MS: u64 = 3_500;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -20,8 +20,6 @@
     pub want: Want,
     pub since: Millis,
     pub until: Millis,
-    /// When a transaction for it was sent, until it has an outcome or counts as unanswered.
-    pub sent: Option<Millis>,
 }
 
 impl Node {
@@ -31,7 +29,6 @@
             want: Want::Submit(Box::new(spec)),
             since: self.now,
             until: self.now + SUBMIT_PATIENCE_MS,
-            sent: None,
         };
         self.ask(request, ask);
     }
@@ -42,7 +39,6 @@
             want: Want::Status,
             since: self.now,
             until: self.now + STATUS_PATIENCE_MS,
-            sent: None,
         };
         self.ask(request, ask);
     }
@@ -53,7 +49,6 @@
             want: Want::Cancel,
             since: self.now,
             until: self.now + SUBMIT_PATIENCE_MS,
-            sent: None,
         };
         self.ask(request, ask);
     }
@@ -82,6 +77,14 @@
             }
         }
         let at_once = new && valid && !self.types.is_empty();
+        if let (Want::Cancel, Some(spec)) = (&ask.want, self.cache.open_job(&ask.job)) {
+            // A flood of these would leave no changes for results, by which what is cancelled is told.
+            if let Err(after_s) = self.cancelling.takes(self.now, &spec.team) {
+                let reply = UserReply::Later { after_s };
+                self.emit(Effect::User { request, reply });
+                return;
+            }
+        }
         self.asks.insert(request, ask);
         if at_once || !self.settings.checks.proof {
             self.proven(request);
@@ -120,7 +123,8 @@
                 draft.put(Key::Job(ask.job), Record::Job(over));
                 // Which way it is to be told is the order of the two.
                 draft.rests_on(Key::Settled);
-                self.commit_for(request, draft.finish());
+                let txn = draft.finish();
+                self.commit(txn, Purpose::Ask(request), Priority::User);
                 return;
             }
             let reply = self.job_reply(&ask, &job);
@@ -150,13 +154,7 @@
         let record = self.accepted(spec);
         let mut draft = Draft::new(&self.cache);
         draft.put(Key::Job(ask.job), Record::Job(record));
-        self.commit_for(request, draft.finish());
-    }
-
-    fn commit_for(&mut self, request: RequestId, txn: Txn) {
-        if let Some(ask) = self.asks.get_mut(&request) {
-            ask.sent = Some(self.now);
-        }
+        let txn = draft.finish();
         self.commit(txn, Purpose::Ask(request), Priority::User);
     }
 
@@ -238,15 +236,6 @@
             let reply = self.later();
             self.answer(request, reply);
         }
-        // What got no answer is read and decided anew, rather than waited for: it may be carried out
-        // seconds later. Both rest on the same revisions, so only one of them takes effect.
-        let unanswered = self.unanswered_ms();
-        for (request, ask) in &mut self.asks {
-            if ask.sent.is_some_and(|at| self.now >= at + unanswered) {
-                ask.sent = None;
-                self.unproven.push(*request);
-            }
-        }
         if !self.state_ok() {
             let waiting: Vec<RequestId> = self.asks.keys().copied().collect();
             for request in waiting {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -178,6 +178,10 @@
         token: Token,
         answer: StateAnswer,
     },
+    /// A transaction was sent a good while ago and has no answer, though one may yet come.
+    Unanswered {
+        token: Token,
+    },
     /// Changes up to a revision, in order.
     Watched {
         epoch: u64,
@@ -306,14 +310,6 @@
     Term,
 }
 
-/// An operation without an answer yet.
-#[derive(Debug)]
-pub(crate) struct Pending {
-    pub purpose: Purpose,
-    pub txn: Option<Txn>,
-    pub since: Millis,
-}
-
 /// A task that a transaction claims: under which attempt, for which machine.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Claimed {
@@ -370,7 +366,7 @@
     pub(crate) changed: bool,
     pub(crate) out: Vec<Effect>,
     pub(crate) next_token: Token,
-    pub(crate) pending: HashMap<Token, Pending>,
+    pub(crate) pending: HashMap<Token, (Purpose, Option<Txn>)>,
     // Proof of freshness
     pub(crate) last_ok: Option<Millis>,
     pub(crate) last_beat_read: Millis,
@@ -383,6 +379,8 @@
     pub(crate) watch_opened: Millis,
     pub(crate) asks: BTreeMap<RequestId, Ask>,
     pub(crate) admission: Admission,
+    /// The same for cancellations.
+    pub(crate) cancelling: Admission,
     /// Those of them that wait for the last tasks of a cancelled job to go.
     pub(crate) ending_asks: BTreeSet<RequestId>,
     pub(crate) settle_busy: bool,
@@ -466,10 +464,8 @@
     pub(crate) moves: Moves,
     pub(crate) lookup_wanted: bool,
     pub(crate) lookup_at: Millis,
-    /// The latest transaction on bookings that is on its way, and since when.
-    pub(crate) writing: Option<(Token, Millis)>,
-    /// How long the state service takes, on the whole, in milliseconds.
-    pub(crate) state_takes_ms: f64,
+    /// The latest transaction on bookings that is on its way.
+    pub(crate) writing: Option<Token>,
     /// After a lost one: the revision the copy must have reached before the next try, and
     /// a time after which to try in any case.
     pub(crate) write_retry: Option<(u64, Millis)>,
@@ -482,7 +478,9 @@
     pub fn new(settings: Settings, seed: u64, now: Millis, wall: WallMs) -> Node {
         let writes = Allowance::new(settings.write_rps, WRITE_BURST_S, now);
         let flush_ops = settings.txn_ops;
-        let admission = Admission::new(settings.write_rps.min(settings.next_write_rps), now);
+        let admitted = settings.write_rps.min(settings.next_write_rps);
+        let admission = Admission::new(admitted, now);
+        let cancelling = Admission::new(admitted, now);
         let mut cache = Cache::default();
         cache.members = match settings.checks.format {
             true => settings.nodes.clone(),
@@ -516,6 +514,7 @@
             watch_opened: now,
             asks: BTreeMap::new(),
             admission,
+            cancelling,
             ending_asks: BTreeSet::new(),
             settle_busy: false,
             turned_away: HashMap::new(),
@@ -576,7 +575,6 @@
             lookup_wanted: false,
             lookup_at: now,
             writing: None,
-            state_takes_ms: 0.0,
             write_retry: None,
             last_house: None,
             ticked_at: now,
@@ -599,6 +597,7 @@
             Event::Cancel { request, job } => self.ask_cancel(request, job),
             Event::CheckIn { request, report } => self.check_in(request, *report),
             Event::State { token, answer } => self.state_answer(token, answer),
+            Event::Unanswered { token } => self.unanswered(token),
             Event::Watched { epoch, changes } => self.watched(epoch, changes),
             Event::WatchGap => self.reload(),
             Event::Throttled => self.throttled(),
@@ -713,31 +712,13 @@
     pub(crate) fn token(&mut self, purpose: Purpose, txn: Option<Txn>) -> Token {
         let token = self.next_token;
         self.next_token += 1;
-        let since = self.now;
-        let pending = Pending {
-            purpose,
-            txn,
-            since,
-        };
-        self.pending.insert(token, pending);
+        self.pending.insert(token, (purpose, txn));
         token
     }
 
     /// Commits changes of bookings, one transaction after another.
     pub(crate) fn commit_bookings(&mut self, txn: Txn, purpose: Purpose, priority: Priority) {
-        let token = self.commit(txn, purpose, priority);
-        self.writing = Some((token, self.now));
-    }
-
-    /// Milliseconds after which a transaction counts as unanswered, though its answer may yet come:
-    /// it may be carried out seconds later, and what waits does not wait for that. Whatever is sent
-    /// instead rests on the same revisions, so only one of them takes effect.
-    pub(crate) fn unanswered_ms(&self) -> Millis {
-        if !self.settings.checks.unanswered {
-            return Millis::MAX / 2;
-        }
-        let usual = (self.state_takes_ms * UNANSWERED_TIMES) as Millis;
-        usual.clamp(UNANSWERED_LEAST_MS, UNANSWERED_MOST_MS)
+        self.writing = Some(self.commit(txn, purpose, priority));
     }
 
     pub(crate) fn commit(&mut self, txn: Txn, purpose: Purpose, priority: Priority) -> Token {
--- a/crates/core/src/rentals.rs
+++ b/crates/core/src/rentals.rs
@@ -9,7 +9,7 @@
 
 impl Node {
     pub(crate) fn cloud_answer(&mut self, token: Token, answer: CloudAnswer) {
-        let Some(Pending { purpose, .. }) = self.pending.remove(&token) else {
+        let Some((purpose, _)) = self.pending.remove(&token) else {
             return;
         };
         match (purpose, answer) {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -226,22 +226,13 @@
     }
 
     pub(crate) fn state_answer(&mut self, token: Token, answer: StateAnswer) {
-        let Some(Pending {
-            purpose,
-            txn,
-            since,
-        }) = self.pending.remove(&token)
-        else {
+        let Some((purpose, txn)) = self.pending.remove(&token) else {
             return;
         };
         match &answer {
             StateAnswer::Unavailable | StateAnswer::NoAnswer => {}
             _ if token < self.woke_token => {}
-            _ => {
-                self.last_ok = Some(self.now);
-                let took = (self.now - since) as f64;
-                self.state_takes_ms += STATE_TAKES_PART * (took - self.state_takes_ms);
-            }
+            _ => self.last_ok = Some(self.now),
         }
         let committed = matches!(answer, StateAnswer::Committed { .. });
         // What the watch has passed is in the copy, as is all that became of it since: a record
@@ -404,12 +395,30 @@
         }
     }
 
+    /// It may be carried out seconds later, and what waits does not wait for that: bookings are written
+    /// anew, and a user's request is read and decided anew. Whatever is sent instead rests on the same
+    /// revisions, so only one of them takes effect.
+    pub(crate) fn unanswered(&mut self, token: Token) {
+        if !self.settings.checks.unanswered {
+            return;
+        }
+        if let Some((Purpose::Ask(request), _)) = self.pending.get(&token) {
+            let request = *request;
+            if self.asks.contains_key(&request) && !self.unproven.contains(&request) {
+                self.unproven.push(request);
+            }
+        }
+        if self.writing == Some(token) {
+            self.writing = None;
+        }
+    }
+
     /// When to try again what did not commit: once the watch has brought what stood in the
     /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
     fn written(&mut self, token: Token, answer: &StateAnswer) {
         self.changed = true;
         // Another has been sent since it counted as unanswered.
-        if self.writing.is_some_and(|(latest, _)| latest != token) {
+        if self.writing.is_some_and(|latest| latest != token) {
             return;
         }
         self.writing = None;
@@ -418,9 +427,7 @@
 
     /// Whether a transaction on bookings may be sent now.
     pub(crate) fn may_write(&self) -> bool {
-        let unanswered = self.unanswered_ms();
-        self.writing
-            .is_none_or(|(_, at)| self.now >= at + unanswered)
+        self.writing.is_none()
             && self
                 .write_retry
                 .is_none_or(|(epoch, at)| self.cache.epoch >= epoch || self.now >= at)
--- a/crates/core/tests/meetings.rs
+++ b/crates/core/tests/meetings.rs
@@ -4,6 +4,7 @@
 use glenmount_core::model::*;
 use glenmount_core::node::*;
 use glenmount_core::records::*;
+use glenmount_world::service::Rate;
 use glenmount_world::*;
 use rand::Rng;
 
@@ -733,3 +734,63 @@
         w.check_records();
     }
 }
+
+/// Users repeat one cancellation thousands of times, through all nodes; cancel hundreds of jobs at once;
+/// and cancel what nobody submitted while the state service is down. All get an answer at once or are
+/// told when to come back, others are served meanwhile, and nothing is invented.
+#[test]
+fn floods_of_cancellations_hold_up_nobody() {
+    let mut w = World::new(180, 3, 6);
+    w.run(9_000);
+    w.run_ms = 600_000;
+    w.limited.changes = Some(Rate::new(90.0, 1.0));
+    let r = w.submit(0, service("j-1", 4));
+    w.answer(r);
+    w.until(20_000, "up", |w| up(w, "j-1"));
+    let before = w.changes;
+    for i in 0..4_000 {
+        w.cancel(i % 3, "j-1");
+        if i % 100 == 0 {
+            w.run(20);
+        }
+    }
+    w.run(5_000);
+    assert_eq!(w.running("j-1"), 0);
+    assert!(w.changes - before < 40, "{} changes", w.changes - before);
+    // Hundreds of jobs, most of which wait.
+    let ids: Vec<String> = (0..300).map(|i| format!("j-{}", 1_000 + i)).collect();
+    for (i, id) in ids.iter().enumerate() {
+        while w.job_phase(id).is_none() {
+            w.submit(i % 3, job(id, 1));
+            w.run(60);
+        }
+    }
+    let asked: Vec<RequestId> = (ids.iter().enumerate())
+        .map(|(i, id)| w.cancel(i % 3, id))
+        .collect();
+    let r = w.submit(1, job("j-9", 1));
+    w.run(5_000);
+    assert!(
+        asked.iter().all(|r| w.answers.contains_key(r)),
+        "each is answered within 5 s"
+    );
+    assert!(
+        matches!(w.answer(r), UserReply::Accepted { .. }),
+        "others are served"
+    );
+    // Those told to come back do.
+    for (i, id) in ids.iter().enumerate() {
+        assert!(cancelled_at(&mut w, i % 3, id, 60_000).is_some(), "{id}");
+    }
+    w.state_down = true;
+    w.run(4_000);
+    for n in 0..3 {
+        let r = w.cancel(n, "j-404");
+        assert!(matches!(w.answer(r), UserReply::Later { .. }));
+    }
+    w.heal();
+    w.run(4_000);
+    let r = w.cancel(0, "j-404");
+    assert!(matches!(w.answer(r), UserReply::NotFound));
+    w.check_records();
+}
--- a/crates/glenmount/src/costs.rs
+++ b/crates/glenmount/src/costs.rs
@@ -27,6 +27,7 @@
         Event::Beat(_) => 7,
         Event::Commanded { .. } => 8,
         Event::Throttled
+        | Event::Unanswered { .. }
         | Event::WatchGap
         | Event::Cloud { .. }
         | Event::LinkEnded { .. }
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -14,10 +14,14 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, Duration, Instant};
+use tokio::time::{sleep, timeout, Duration, Instant};
 
 /// Time an answer may take: usually 10 ms, now and then a few hundred.
 const TIMEOUT: Duration = Duration::from_millis(1_200);
+/// A transaction counts as unanswered after so many times what answers take on the whole ...
+const UNANSWERED_TIMES: f64 = 6.0;
+/// ... of which a new one replaces this part.
+const TAKES_PART: f64 = 0.05;
 /// Time to set up a connection on a network of a few milliseconds.
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// Requests on their way at once: keeps connections few.
@@ -47,7 +51,8 @@
 enum Message {
     Do(Job),
     Wake,
-    Finished,
+    /// With the milliseconds that its answer took.
+    Finished(Option<f64>),
     TooMany(Job),
 }
 
@@ -203,6 +208,7 @@
         let mut writes = Budget::new(write_rps, 0.9);
         let mut lines: [VecDeque<Job>; 4] = Default::default();
         let mut in_flight = 0;
+        let mut takes_ms: f64 = 0.0;
         let mut wait = Duration::ZERO;
         loop {
             let message = if wait.is_zero() {
@@ -224,7 +230,10 @@
                         line.push_back(job);
                     }
                 }
-                Some(Message::Finished) => in_flight -= 1,
+                Some(Message::Finished(took)) => {
+                    in_flight -= 1;
+                    takes_ms += took.map_or(0.0, |ms| TAKES_PART * (ms - takes_ms));
+                }
                 Some(Message::TooMany(job)) => {
                     in_flight -= 1;
                     requests.drain();
@@ -255,12 +264,28 @@
                 writes.take(puts);
                 in_flight += 1;
                 let (http, core, inner_in) = (http.clone(), core.clone(), inner_in.clone());
+                let patience = (takes_ms * UNANSWERED_TIMES).max(UNANSWERED_LEAST_MS as f64);
+                let patience = Duration::from_secs_f64(patience / 1e3).min(TIMEOUT);
                 tokio::spawn(async move {
-                    match execute(&http, &job.op).await {
+                    let (token, begun) = (job.token, Instant::now());
+                    let answer = {
+                        let mut call = std::pin::pin!(execute(&http, &job.op));
+                        match timeout(patience, &mut call).await {
+                            Ok(answer) => answer,
+                            Err(_) => {
+                                if matches!(job.op, StateOp::Txn(_)) {
+                                    let _ = core.send(Event::Unanswered { token }).await;
+                                }
+                                call.await
+                            }
+                        }
+                    };
+                    match answer {
                         Some(answer) => {
-                            let token = job.token;
+                            let took = begun.elapsed().as_secs_f64() * 1e3;
+                            let took = Some(took).filter(|_| answer != StateAnswer::NoAnswer);
                             let _ = core.send(Event::State { token, answer }).await;
-                            let _ = inner_in.send(Message::Finished);
+                            let _ = inner_in.send(Message::Finished(took));
                         }
                         None => {
                             sleep(TOO_MANY_PAUSE).await;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod users;
 
 use glenmount_core::checks::Checks;
+use glenmount_core::constants::UNANSWERED_LEAST_MS;
 use glenmount_core::formats::OLDEST;
 use glenmount_core::model::*;
 use glenmount_core::node::*;
@@ -1099,11 +1100,16 @@
                         continue;
                     }
                     self.nodes[n].sent += u32::from(matches!(op, StateOp::Txn(_)));
+                    let txn = matches!(op, StateOp::Txn(_));
                     if self.nodes[n].cut_from_state || self.inside(n) {
-                        if self.inside(n) && matches!(op, StateOp::Txn(_)) {
+                        if self.inside(n) && txn {
                             let late = Act::State(n, life, token, op, Fate::Late(0));
                             self.held_back.push(late);
                         }
+                        if txn {
+                            let event = Event::Unanswered { token };
+                            self.at(UNANSWERED_LEAST_MS, Act::Node(n, life, event));
+                        }
                         let event = Event::State {
                             token,
                             answer: StateAnswer::NoAnswer,
@@ -1112,7 +1118,7 @@
                         continue;
                     }
                     let mut fate = Fate::Normal;
-                    if matches!(op, StateOp::Txn(_)) {
+                    if txn {
                         let (lost, late) = (self.mishaps.txn_answer_lost, self.mishaps.txn_late);
                         if self.chance(lost) {
                             fate = Fate::AnswerLost;
@@ -1200,6 +1206,10 @@
             _ => self.rng.gen_range(2..10),
         };
         if fate != Fate::Normal {
+            self.at(
+                UNANSWERED_LEAST_MS,
+                Act::Node(n, life, Event::Unanswered { token }),
+            );
             let event = Event::State {
                 token,
                 answer: StateAnswer::NoAnswer,
@@ -1393,6 +1403,10 @@
                         true => self.rng.gen_range(3..1_000),
                         false => 3,
                     };
+                    if delay > UNANSWERED_LEAST_MS && changes > 0 {
+                        let event = Event::Unanswered { token };
+                        self.at(UNANSWERED_LEAST_MS, Act::Node(n, life, event));
+                    }
                     self.at(delay, Act::Node(n, life, event));
                 }
             }
