--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -64,6 +64,22 @@
     }
 }
 
+/// One for each kind of request that costs a change. A flood of cancellations would else leave none for
+/// results, by which they are told.
+pub struct Doors {
+    pub submissions: Admission,
+    pub cancellations: Admission,
+}
+
+impl Doors {
+    pub fn new(rps: f64, now: Millis) -> Doors {
+        Doors {
+            submissions: Admission::new(rps, now),
+            cancellations: Admission::new(rps, now),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -70,7 +70,7 @@
         let valid = matches!(&ask.want, Want::Submit(spec)
             if self.refusal(spec).is_none());
         if let (true, Want::Submit(spec)) = (new && valid, &ask.want) {
-            if let Err(after_s) = self.admission.takes(self.now, &spec.team) {
+            if let Err(after_s) = self.admission.submissions.takes(self.now, &spec.team) {
                 let reply = UserReply::Later { after_s };
                 self.emit(Effect::User { request, reply });
                 return;
@@ -79,7 +79,7 @@
         let at_once = new && valid && !self.types.is_empty();
         if let (Want::Cancel, Some(spec)) = (&ask.want, self.cache.open_job(&ask.job)) {
             // A flood of these would leave no changes for results, by which what is cancelled is told.
-            if let Err(after_s) = self.cancelling.takes(self.now, &spec.team) {
+            if let Err(after_s) = self.admission.cancellations.takes(self.now, &spec.team) {
                 let reply = UserReply::Later { after_s };
                 self.emit(Effect::User { request, reply });
                 return;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,6 +1,6 @@
 //! One controller node: takes events, keeps the copy of the records, and emits effects.
 
-use crate::admission::Admission;
+use crate::admission::Doors;
 use crate::allowance::Allowance;
 use crate::constants::*;
 use crate::formats::{self, FormatRecord};
@@ -378,9 +378,7 @@
     pub(crate) trailing_since: Option<Millis>,
     pub(crate) watch_opened: Millis,
     pub(crate) asks: BTreeMap<RequestId, Ask>,
-    pub(crate) admission: Admission,
-    /// The same for cancellations.
-    pub(crate) cancelling: Admission,
+    pub(crate) admission: Doors,
     /// Those of them that wait for the last tasks of a cancelled job to go.
     pub(crate) ending_asks: BTreeSet<RequestId>,
     pub(crate) settle_busy: bool,
@@ -479,8 +477,7 @@
         let writes = Allowance::new(settings.write_rps, WRITE_BURST_S, now);
         let flush_ops = settings.txn_ops;
         let admitted = settings.write_rps.min(settings.next_write_rps);
-        let admission = Admission::new(admitted, now);
-        let cancelling = Admission::new(admitted, now);
+        let admission = Doors::new(admitted, now);
         let mut cache = Cache::default();
         cache.members = match settings.checks.format {
             true => settings.nodes.clone(),
@@ -514,7 +511,6 @@
             watch_opened: now,
             asks: BTreeMap::new(),
             admission,
-            cancelling,
             ending_asks: BTreeSet::new(),
             settle_busy: false,
             turned_away: HashMap::new(),
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -417,8 +417,8 @@
     /// way. Trying at once would only meet the same conflict, and conflicts cost budget.
     fn written(&mut self, token: Token, answer: &StateAnswer) {
         self.changed = true;
-        // Another has been sent since it counted as unanswered.
-        if self.writing.is_some_and(|latest| latest != token) {
+        // It counted as unanswered, and held up nothing since.
+        if self.writing != Some(token) {
             return;
         }
         self.writing = None;
