--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -259,6 +259,8 @@
 
 /// Milliseconds that workers take to turn to another node (4 s limit and 1 s pause).
 pub const WORKER_MOVE_MS: u64 = 5_000;
+/// Milliseconds within which a worker that was handed over is at its new node: half a second, and a beat.
+pub const WORKER_HANDED_MS: u64 = 1_000;
 /// Milliseconds of spare time added to a worker's move before its silence counts.
 pub const SILENCE_SPARE_MS: u64 = 1_000;
 /// Milliseconds after an overdue check-in at which its machine is asked directly.
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -133,8 +133,9 @@
             self.signs.note(id).unreached = Some(self.now);
             return;
         }
-        // It left a node that is well.
-        let by = sight.told.filter(|_| !sight.reports_here());
+        // It waited in vain for a node that is well; one that was handed over comes at once.
+        let waited = |at: Millis| self.now + WORKER_HANDED_MS >= at + WORKER_MOVE_MS;
+        let by = sight.told.filter(|t| !sight.reports_here() && waited(t.at));
         let left = by.is_some_and(|t| self.standby.is_well(self.now, t.by()));
         if left && sight.of.may_be_asked(self.now) {
             self.signs.note(id).asked = Some(self.now);
