Scale run: the fleet in two years against real controllers on loopback

What there was (crates/edge) had one zone, one team, fixed limits and no failures. `builds` takes over the comparison of two builds; `slopes` plays a plan at several sizes.

Tests: each rule is broken once (rules.rs); store, rates and workers against the protocol (stand_ins.rs); plans and results that make no sense (plans.rs); an interrupt ends the controllers too (ending.rs); the small plan with all troubles against the service itself (crates/glenmount/tests/small_plan.rs, 30 s). The store's test that stood in its source moved to stand_ins.rs, with the same assertions.

--- /dev/null
+++ b/crates/edge/src/counters.rs
@@ -0,0 +1,246 @@
+//! What passes between the controllers and everybody else, counted by kind, and how long things take.
+
+use crate::network::lock;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::Mutex;
+
+/// Kinds of exchanges; all but the last four are begun by controllers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    StateTransaction,
+    StateRead,
+    StateList,
+    StateWatch,
+    StateLease,
+    CloudCatalog,
+    CloudList,
+    CloudRent,
+    CloudDelete,
+    WorkerCommand,
+    WorkerStatus,
+    Sibling,
+    WorkerReport,
+    UserSubmit,
+    UserPoll,
+    UserCancel,
+    UserReady,
+}
+
+pub const KINDS: [Kind; 17] = [
+    Kind::StateTransaction,
+    Kind::StateRead,
+    Kind::StateList,
+    Kind::StateWatch,
+    Kind::StateLease,
+    Kind::CloudCatalog,
+    Kind::CloudList,
+    Kind::CloudRent,
+    Kind::CloudDelete,
+    Kind::WorkerCommand,
+    Kind::WorkerStatus,
+    Kind::Sibling,
+    Kind::WorkerReport,
+    Kind::UserSubmit,
+    Kind::UserPoll,
+    Kind::UserCancel,
+    Kind::UserReady,
+];
+
+impl Kind {
+    /// Whether it is a worker's part in control.
+    pub fn is_workers(self) -> bool {
+        matches!(
+            self,
+            Kind::WorkerCommand | Kind::WorkerStatus | Kind::WorkerReport
+        )
+    }
+}
+
+/// Exchanges of one kind. Bytes are those of HTTP heads and bodies, or of the siblings' frames, without
+/// the network's own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Traffic {
+    pub exchanges: f64,
+    pub request_bytes: f64,
+    pub answer_bytes: f64,
+}
+
+impl Traffic {
+    pub fn minus(self, before: Traffic) -> Traffic {
+        Traffic {
+            exchanges: self.exchanges - before.exchanges,
+            request_bytes: self.request_bytes - before.request_bytes,
+            answer_bytes: self.answer_bytes - before.answer_bytes,
+        }
+    }
+
+    pub fn per(self, seconds: f64) -> Traffic {
+        Traffic {
+            exchanges: self.exchanges / seconds,
+            request_bytes: self.request_bytes / seconds,
+            answer_bytes: self.answer_bytes / seconds,
+        }
+    }
+
+    pub fn bytes(self) -> f64 {
+        self.request_bytes + self.answer_bytes
+    }
+}
+
+#[derive(Default)]
+struct Counter {
+    exchanges: AtomicU64,
+    request_bytes: AtomicU64,
+    answer_bytes: AtomicU64,
+}
+
+/// Exchanges of each kind since the start.
+#[derive(Default)]
+pub struct TrafficCounters([Counter; KINDS.len()]);
+
+impl TrafficCounters {
+    pub fn count(&self, kind: Kind, request_bytes: u64, answer_bytes: u64) {
+        let counter = &self.0[kind as usize];
+        counter.exchanges.fetch_add(1, Relaxed);
+        counter.request_bytes.fetch_add(request_bytes, Relaxed);
+        counter.answer_bytes.fetch_add(answer_bytes, Relaxed);
+    }
+
+    pub fn now(&self) -> BTreeMap<Kind, Traffic> {
+        let each = KINDS.iter().zip(&self.0);
+        each.map(|(kind, counter)| {
+            let traffic = Traffic {
+                exchanges: counter.exchanges.load(Relaxed) as f64,
+                request_bytes: counter.request_bytes.load(Relaxed) as f64,
+                answer_bytes: counter.answer_bytes.load(Relaxed) as f64,
+            };
+            (*kind, traffic)
+        })
+        .collect()
+    }
+}
+
+/// Counts by name, for what has no fixed list of kinds.
+#[derive(Default)]
+pub struct NamedCounters(Mutex<BTreeMap<String, u64>>);
+
+impl NamedCounters {
+    pub fn add(&self, name: &str, amount: u64) {
+        let mut counts = lock(&self.0);
+        match counts.get_mut(name) {
+            Some(count) => *count += amount,
+            None => {
+                counts.insert(name.to_string(), amount);
+            }
+        }
+    }
+
+    pub fn now(&self) -> BTreeMap<String, u64> {
+        lock(&self.0).clone()
+    }
+}
+
+/// What has a time of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Timed {
+    /// From a user's first try to the acceptance.
+    Acceptance,
+    /// From a job's submission to a task of it on a machine, critical and high ranks.
+    UrgentStart,
+    StandardStart,
+    /// From a task's stop, or the loss of its machine, to its next start.
+    UrgentRestart,
+    StandardRestart,
+    /// From a task's end to the command that its worker may forget it.
+    ResultRecorded,
+    /// From a job's last end to the answer that it is done.
+    DoneTold,
+    CancellationTold,
+}
+
+pub const TIMED: [Timed; 8] = [
+    Timed::Acceptance,
+    Timed::UrgentStart,
+    Timed::StandardStart,
+    Timed::UrgentRestart,
+    Timed::StandardRestart,
+    Timed::ResultRecorded,
+    Timed::DoneTold,
+    Timed::CancellationTold,
+];
+
+/// Longest time that is told apart, in milliseconds.
+const LONGEST_MS: u64 = 3_600_000;
+const DIGITS: u8 = 3;
+
+/// Milliseconds that things took.
+pub struct Times([Mutex<Histogram<u32>>; TIMED.len()]);
+
+impl Default for Times {
+    fn default() -> Times {
+        let new = || Histogram::new_with_bounds(1, LONGEST_MS, DIGITS);
+        Times(std::array::from_fn(|_| {
+            Mutex::new(new().unwrap_or_else(|_| unreachable!("bounds are constants")))
+        }))
+    }
+}
+
+/// A distribution in short.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct Quantiles {
+    pub count: u64,
+    pub p50_ms: u64,
+    pub p99_ms: u64,
+    pub max_ms: u64,
+}
+
+impl Times {
+    pub fn record(&self, what: Timed, took_ms: u64) {
+        lock(&self.0[what as usize]).saturating_record(took_ms.max(1));
+    }
+
+    pub fn clear(&self) {
+        for histogram in &self.0 {
+            lock(histogram).reset();
+        }
+    }
+
+    pub fn now(&self) -> BTreeMap<Timed, Quantiles> {
+        let each = TIMED.iter().zip(&self.0);
+        each.map(|(what, histogram)| {
+            let histogram = lock(histogram);
+            let quantiles = Quantiles {
+                count: histogram.len(),
+                p50_ms: histogram.value_at_quantile(0.5),
+                p99_ms: histogram.value_at_quantile(0.99),
+                max_ms: histogram.max(),
+            };
+            (*what, quantiles)
+        })
+        .collect()
+    }
+}
+
+/// Something counted in each second of a run.
+pub struct PerSecond(Vec<AtomicU64>);
+
+impl PerSecond {
+    pub fn new(seconds: usize) -> PerSecond {
+        PerSecond((0..seconds).map(|_| AtomicU64::new(0)).collect())
+    }
+
+    pub fn add(&self, at_ms: u64, amount: u64) {
+        if let Some(count) = self.0.get((at_ms / 1_000) as usize) {
+            count.fetch_add(amount, Relaxed);
+        }
+    }
+
+    pub fn now(&self) -> Vec<u64> {
+        self.0.iter().map(|count| count.load(Relaxed)).collect()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/link.rs
@@ -0,0 +1,111 @@
+//! The links between controllers: each pair's connections pass through here, where they are counted and
+//! where a cut holds them up.
+
+use crate::counters::Kind;
+use crate::network::Site;
+use crate::plan::ZoneIndex;
+use crate::world::World;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// Addresses by which each controller reaches each other.
+pub struct Links(Vec<Vec<SocketAddr>>);
+
+impl Links {
+    /// Opens a link for each ordered pair of controllers.
+    pub async fn open(
+        world: &Arc<World>,
+        targets: &[SocketAddr],
+        zones: &[ZoneIndex],
+    ) -> std::io::Result<Links> {
+        let mut all = Vec::new();
+        for from in 0..targets.len() {
+            let mut row = Vec::new();
+            for to in 0..targets.len() {
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                row.push(listener.local_addr()?);
+                let link = Link {
+                    world: world.clone(),
+                    target: targets[to],
+                    from: Site::Zone(zones[from]),
+                    to: Site::Zone(zones[to]),
+                };
+                if from != to {
+                    tokio::spawn(link.serve(listener));
+                }
+            }
+            all.push(row);
+        }
+        Ok(Links(all))
+    }
+
+    pub fn address(&self, from: usize, to: usize) -> SocketAddr {
+        self.0[from][to]
+    }
+}
+
+#[derive(Clone)]
+struct Link {
+    world: Arc<World>,
+    target: SocketAddr,
+    from: Site,
+    to: Site,
+}
+
+/// Whether bytes go with the direction in which the connection was opened.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Forth,
+    Back,
+}
+
+impl Link {
+    async fn serve(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(self.clone().connect(stream));
+        }
+    }
+
+    async fn connect(self, stream: TcpStream) {
+        let network = &self.world.network;
+        network.until_reached(self.from, self.to).await;
+        // A refused connection ends the caller's as well.
+        let Ok(target) = TcpStream::connect(self.target).await else {
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        let _ = target.set_nodelay(true);
+        let (from_read, from_write) = stream.into_split();
+        let (to_read, to_write) = target.into_split();
+        let forth = self.clone().copy(from_read, to_write, Direction::Forth);
+        let back = self.copy(to_read, from_write, Direction::Back);
+        tokio::join!(forth, back);
+    }
+
+    async fn copy(self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, direction: Direction) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let read = from.read(&mut buffer).await.unwrap_or(0);
+            let network = &self.world.network;
+            network.until_reached(self.from, self.to).await;
+            if read == 0 {
+                let _ = to.shutdown().await;
+                return;
+            }
+            let bytes = read as u64;
+            let traffic = &self.world.traffic;
+            match direction {
+                Direction::Forth => traffic.count(Kind::Sibling, bytes, 0),
+                Direction::Back => traffic.count(Kind::Sibling, 0, bytes),
+            }
+            if to.write_all(&buffer[..read]).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/rules.rs
@@ -0,0 +1,309 @@
+//! The protocol's rules, checked from the outside by what machines do and what users are told.
+
+use crate::plan::Shape;
+use crate::protocol::{Standing, Submission, TaskId};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A job whose polls all fail for so long, while others get answers, counts as forgotten.
+const SILENT_MS: u64 = 90_000;
+/// Share of all polls that must have got answers meanwhile.
+const MOST_ANSWERED: f64 = 0.5;
+/// Breaches kept; one is enough to fail a run.
+const MOST_BREACHES: usize = 1_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+}
+
+/// A rule that was broken, by what and when.
+#[derive(Debug, Clone, Serialize)]
+pub struct Breach {
+    pub rule: Rule,
+    pub what: String,
+    pub at_ms: u64,
+}
+
+/// The machine that a task starts on.
+#[derive(Debug, Clone)]
+pub struct Place {
+    pub machine: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+struct Job {
+    submission: Arc<Submission>,
+    accepted_ms: Option<u64>,
+    cancel_asked: bool,
+    /// The final answer told, and when.
+    told: Option<(Standing, u64)>,
+    last_answer_ms: u64,
+    done: BTreeSet<u32>,
+    /// Tasks on machines now: machine and zone.
+    live: BTreeMap<u32, (String, String)>,
+}
+
+/// What is known of all jobs and tasks, and the breaches seen so far.
+pub struct Rules {
+    cancel_ms: u64,
+    /// Thousandths of processors that a team may use; 0: no limit.
+    limit: u64,
+    jobs: HashMap<Arc<str>, Job>,
+    used: HashMap<String, u64>,
+    /// Cancelled jobs that had tasks left when last looked at.
+    cancelled: BTreeSet<Arc<str>>,
+    polls: u64,
+    polls_answered: u64,
+    breaches: Vec<Breach>,
+}
+
+fn thousandths(cpus: f64) -> u64 {
+    (cpus * 1_000.0).round() as u64
+}
+
+impl Rules {
+    pub fn new(cancel_s: f64, cpus_max: f64) -> Rules {
+        Rules {
+            cancel_ms: (cancel_s * 1_000.0) as u64,
+            limit: thousandths(cpus_max),
+            jobs: HashMap::new(),
+            used: HashMap::new(),
+            cancelled: BTreeSet::new(),
+            polls: 0,
+            polls_answered: 0,
+            breaches: Vec::new(),
+        }
+    }
+
+    pub fn breaches(&self) -> &[Breach] {
+        &self.breaches
+    }
+
+    /// Tasks that are on machines now.
+    pub fn running(&self) -> usize {
+        self.jobs.values().map(|job| job.live.len()).sum()
+    }
+
+    /// Whether every task of a job has completed.
+    pub fn is_complete(&self, id: &str) -> bool {
+        self.jobs.get(id).is_some_and(Job::is_complete)
+    }
+
+    pub fn submitted(&mut self, submission: Arc<Submission>, now_ms: u64) {
+        let job = Job {
+            accepted_ms: None,
+            cancel_asked: false,
+            told: None,
+            last_answer_ms: now_ms,
+            done: BTreeSet::new(),
+            live: BTreeMap::new(),
+            submission: submission.clone(),
+        };
+        self.jobs.entry(submission.id.clone()).or_insert(job);
+    }
+
+    pub fn accepted(&mut self, id: &str, now_ms: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.accepted_ms.get_or_insert(now_ms);
+            job.last_answer_ms = now_ms;
+        }
+    }
+
+    /// A submission was answered 400 or 422.
+    pub fn refused(&mut self, id: &str, now_ms: u64) {
+        let known = self.jobs.get(id).is_some_and(|j| j.accepted_ms.is_some());
+        if known {
+            self.breach(Rule::Forgotten, format!("{id}: submission refused"), now_ms);
+        }
+    }
+
+    /// A task has its image and runs on a machine.
+    pub fn started(&mut self, task: &TaskId, place: &Place, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return self.breach(Rule::Invented, format!("{task} runs"), now_ms);
+        };
+        let submission = job.submission.clone();
+        let elsewhere = job
+            .live
+            .get(&task.index)
+            .map(|(machine, _)| machine.clone());
+        let wrong = job.wrong_place(task.index, place);
+        let late = job.ended_before(now_ms, self.cancel_ms);
+        let home = (place.machine.clone(), place.zone.clone());
+        job.live.insert(task.index, home);
+        if let Some(machine) = elsewhere {
+            let what = format!("{task} on {} and {machine}", place.machine);
+            return self.breach(Rule::RanTwice, what, now_ms);
+        }
+        if wrong {
+            let what = format!("{task} on {} in {}", place.machine, place.zone);
+            self.breach(Rule::WrongPlace, what, now_ms);
+        }
+        if late {
+            self.breach(Rule::RanCancelled, format!("{task} starts"), now_ms);
+        }
+        let used = self.used.entry(submission.team.clone()).or_default();
+        *used += thousandths(submission.vcpus);
+        let (used, limit) = (*used, self.limit);
+        if limit > 0 && used > limit {
+            let what = format!("{} uses {used} of {limit}", submission.team);
+            self.breach(Rule::Quota, what, now_ms);
+        }
+    }
+
+    /// A task is no longer on a machine.
+    pub fn ended(&mut self, task: &TaskId, machine: &str, completed: bool) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if completed {
+            job.done.insert(task.index);
+        }
+        let here = job
+            .live
+            .get(&task.index)
+            .is_some_and(|(on, _)| on == machine);
+        if !here {
+            return;
+        }
+        job.live.remove(&task.index);
+        let cpus = thousandths(job.submission.vcpus);
+        if let Some(used) = self.used.get_mut(&job.submission.team) {
+            *used = used.saturating_sub(cpus);
+        }
+    }
+
+    pub fn cancel_asked(&mut self, id: &str) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cancel_asked = true;
+        }
+    }
+
+    /// A user was told how a job stands, by a question or a cancellation sent at `asked_ms`.
+    pub fn told(&mut self, id: &str, standing: Standing, asked_ms: u64, now_ms: u64) {
+        self.polls += 1;
+        self.polls_answered += 1;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return self.breach(Rule::Invented, format!("{id}: {standing:?}"), now_ms);
+        };
+        job.last_answer_ms = now_ms;
+        let before = job.told.filter(|(_, at)| *at <= asked_ms);
+        let changed = before.is_some_and(|(told, _)| told != standing);
+        let uncalled = standing == Standing::Aborted && !job.cancel_asked;
+        let early = standing == Standing::Done && !job.is_complete();
+        let is_final = matches!(standing, Standing::Done | Standing::Aborted);
+        if is_final && job.told.is_none() {
+            job.told = Some((standing, now_ms));
+        }
+        if standing == Standing::Aborted && !job.live.is_empty() {
+            let id = job.submission.id.clone();
+            self.cancelled.insert(id);
+        }
+        if changed || uncalled {
+            let what = format!("{id}: {standing:?} after {before:?}");
+            self.breach(Rule::WentBack, what, now_ms);
+        }
+        if early {
+            self.breach(Rule::NotDone, id.to_string(), now_ms);
+        }
+    }
+
+    /// A question sent at `asked_ms` was answered 404.
+    pub fn unknown(&mut self, id: &str, asked_ms: u64, now_ms: u64) {
+        self.polls += 1;
+        self.polls_answered += 1;
+        let accepted = self.jobs.get(id).and_then(|j| j.accepted_ms);
+        if accepted.is_some_and(|at| at <= asked_ms) {
+            self.breach(Rule::Forgotten, format!("{id}: 404"), now_ms);
+        }
+    }
+
+    /// A question got no answer, or one that says nothing.
+    pub fn unanswered(&mut self, id: &str, now_ms: u64) {
+        self.polls += 1;
+        let most = self.polls_answered as f64 > MOST_ANSWERED * self.polls as f64;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let silent = job.accepted_ms.is_some() && job.last_answer_ms + SILENT_MS < now_ms;
+        if silent && most {
+            job.last_answer_ms = now_ms;
+            self.breach(Rule::Forgotten, format!("{id}: no answer"), now_ms);
+        }
+    }
+
+    /// Looks for tasks that are left of cancelled jobs after their time.
+    pub fn sweep(&mut self, now_ms: u64) {
+        let mut late = Vec::new();
+        let (jobs, cancel_ms) = (&self.jobs, self.cancel_ms);
+        self.cancelled.retain(|id| {
+            let Some(job) = jobs.get(id) else {
+                return false;
+            };
+            if job.ended_before(now_ms, cancel_ms) {
+                late.extend(
+                    job.live
+                        .iter()
+                        .map(|(n, (on, _))| format!("{id}/{n} on {on}")),
+                );
+                return false;
+            }
+            !job.live.is_empty()
+        });
+        for what in late {
+            self.breach(Rule::RanCancelled, what, now_ms);
+        }
+    }
+
+    fn breach(&mut self, rule: Rule, what: String, at_ms: u64) {
+        if self.breaches.len() < MOST_BREACHES {
+            self.breaches.push(Breach { rule, what, at_ms });
+        }
+    }
+}
+
+impl Job {
+    fn is_complete(&self) -> bool {
+        let tasks = self.submission.tasks as usize;
+        self.submission.shape == Shape::Array && self.done.len() == tasks
+    }
+
+    /// Whether all its tasks had to be gone before now.
+    fn ended_before(&self, now_ms: u64, cancel_ms: u64) -> bool {
+        let told = self
+            .told
+            .filter(|(standing, _)| *standing == Standing::Aborted);
+        told.is_some_and(|(_, at)| at + cancel_ms < now_ms)
+    }
+
+    fn wrong_place(&self, index: u32, place: &Place) -> bool {
+        let submission = &self.submission;
+        let types = submission.machine_types.as_ref();
+        let zone = submission.zone.as_ref();
+        let zones = || {
+            self.live
+                .iter()
+                .filter(|(n, _)| **n != index)
+                .map(|(_, (_, z))| z)
+        };
+        let in_zone = zones().filter(|z| **z == place.zone).count() + 1;
+        let half = submission.tasks.div_ceil(2) as usize;
+        types.is_some_and(|types| !types.contains(&place.machine_type))
+            || zone.is_some_and(|zone| *zone != place.zone)
+            || (place.spot && !submission.spot)
+            || (submission.together && zones().any(|z| *z != place.zone))
+            || (submission.scatter && in_zone > half)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/state_service.rs
@@ -0,0 +1,336 @@
+//! A stand-in of the state service: the store behind HTTP, with limits, latency, outages and refusals.
+
+use crate::counters::Kind;
+use crate::http::{serve, Answer, Incoming};
+use crate::limits::RateLimit;
+use crate::network::{lock, Site};
+use crate::plan::ZoneIndex;
+use crate::store::{kind_of, Outcome, Sizes, Store, Transaction};
+use crate::world::World;
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, Duration};
+
+/// Both limits allow one second's worth at once.
+const BURST_S: f64 = 1.0;
+/// Longest hold of a watch.
+const MOST_HOLD_MS: u64 = 60_000;
+/// One answer in so many takes some hundred milliseconds.
+const SLOW_ONE_IN: u32 = 500;
+const SLOW_MS: std::ops::Range<u64> = 150..400;
+/// How often leases are looked at.
+const LEASE_CHECK: Duration = Duration::from_millis(50);
+const LEASE_LIFE_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
+
+#[derive(Serialize)]
+struct Epoch {
+    epoch: u64,
+}
+
+#[derive(Serialize)]
+struct Failed<'a> {
+    failed: &'a [String],
+    epoch: u64,
+}
+
+#[derive(Serialize)]
+struct Problem<'a> {
+    error: &'a str,
+}
+
+#[derive(Serialize)]
+struct WatchAnswer {
+    epoch: u64,
+    news: Vec<crate::store::News>,
+}
+
+#[derive(Deserialize)]
+struct LeaseRequest {
+    #[serde(rename = "lifeMs")]
+    life_ms: u64,
+}
+
+#[derive(Serialize)]
+struct LeaseAnswer {
+    tenancy: u64,
+}
+
+struct Limits {
+    requests: RateLimit,
+    changes: RateLimit,
+}
+
+/// The service and the troubles that it has.
+pub struct StateService {
+    world: Arc<World>,
+    store: Mutex<Store>,
+    epoch: watch::Sender<u64>,
+    limits: Mutex<Limits>,
+    latency_ms: AtomicU64,
+    down: AtomicBool,
+    /// Controllers that get 503.
+    refused: Mutex<BTreeSet<u32>>,
+}
+
+impl StateService {
+    pub fn new(world: Arc<World>) -> Arc<StateService> {
+        let limits = &world.plan.state;
+        let service = Arc::new(StateService {
+            store: Mutex::default(),
+            epoch: watch::channel(0).0,
+            limits: Mutex::new(Limits {
+                requests: RateLimit::new(limits.rps, BURST_S),
+                changes: RateLimit::new(limits.write_rps, BURST_S),
+            }),
+            latency_ms: AtomicU64::new(limits.latency_ms.round() as u64),
+            down: AtomicBool::new(false),
+            refused: Mutex::default(),
+            world,
+        });
+        tokio::spawn(service.clone().expire_leases());
+        service
+    }
+
+    /// An address of its own for a controller, by which that one is known.
+    pub async fn listen(
+        self: &Arc<Self>,
+        controller: u32,
+        zone: ZoneIndex,
+    ) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let service = self.clone();
+        serve(listener, move |request| {
+            let service = service.clone();
+            async move { service.serve(request, controller, zone).await }
+        });
+        Ok(address)
+    }
+
+    pub fn set_latency(&self, ms: f64) {
+        self.latency_ms.store(ms.round() as u64, Relaxed);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Relaxed);
+        if !down {
+            lock(&self.store).renew_all(self.world.now_ms());
+        }
+    }
+
+    pub fn set_refused(&self, controller: u32, refused: bool) {
+        let mut all = lock(&self.refused);
+        match refused {
+            true => all.insert(controller),
+            false => all.remove(&controller),
+        };
+    }
+
+    /// Reads the store, for what is printed at the end.
+    pub fn read<T>(&self, look: impl FnOnce(&Store) -> T) -> T {
+        look(&lock(&self.store))
+    }
+
+    async fn serve(&self, request: Incoming, controller: u32, zone: ZoneIndex) -> Answer {
+        let network = &self.world.network;
+        network.until_reached(Site::Zone(zone), Site::Outside).await;
+        let kind = kind(&request);
+        let request_bytes = request.bytes;
+        let answer = self.answer(request, controller).await;
+        network.until_reached(Site::Outside, Site::Zone(zone)).await;
+        let traffic = &self.world.traffic;
+        traffic.count(kind, request_bytes, answer.bytes());
+        answer
+    }
+
+    fn serves(&self, controller: u32) -> bool {
+        !self.down.load(Relaxed) && !lock(&self.refused).contains(&controller)
+    }
+
+    async fn answer(&self, request: Incoming, controller: u32) -> Answer {
+        self.take_time().await;
+        if !self.serves(controller) {
+            return problem(503, "unavailable");
+        }
+        let now_ms = self.world.now_ms();
+        if !lock(&self.limits).requests.take(1.0, now_ms) {
+            return problem(429, "too many requests");
+        }
+        match (&request.method, request.path.as_str()) {
+            (&Method::POST, "/txn") => self.transact(&request),
+            (&Method::GET, "/watch") => self.watch(&request, controller).await,
+            (&Method::GET, "/keys") => {
+                let most = request.number("most").unwrap_or(1_000) as usize;
+                let store = lock(&self.store);
+                let page = store.list(request.word("under"), request.word("since"), most);
+                Answer::json(200, &page)
+            }
+            (&Method::GET, path) => match path.strip_prefix("/keys/") {
+                Some(key) => self.get(key),
+                None => problem(400, "malformed"),
+            },
+            (_, path) => match path.strip_prefix("/leases") {
+                Some(rest) => self.lease(&request, rest),
+                None => problem(400, "malformed"),
+            },
+        }
+    }
+
+    async fn take_time(&self) {
+        let usual = self.latency_ms.load(Relaxed);
+        let ms = match self.world.draw(0..SLOW_ONE_IN) {
+            0 => self.world.draw(SLOW_MS),
+            _ => self.world.draw(usual / 2..=usual * 3 / 2),
+        };
+        if ms > 0 {
+            sleep(Duration::from_millis(ms)).await;
+        }
+    }
+
+    fn get(&self, key: &str) -> Answer {
+        let store = lock(&self.store);
+        match store.get(key) {
+            Some(item) => Answer::json(200, &item),
+            None => Answer::json(
+                404,
+                &Epoch {
+                    epoch: store.epoch(),
+                },
+            ),
+        }
+    }
+
+    fn transact(&self, request: &Incoming) -> Answer {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(&request.body) else {
+            return problem(400, "malformed");
+        };
+        let changes = transaction.apply.len() as f64;
+        let now_ms = self.world.now_ms();
+        if !lock(&self.limits).changes.take(changes, now_ms) {
+            return problem(429, "too many changes");
+        }
+        let shape = shape(&transaction);
+        let kinds: Vec<String> = transaction.apply.iter().map(|c| kind_of(c.key())).collect();
+        let limits = &self.world.plan.state;
+        let sizes = Sizes {
+            value_bytes: (limits.value_kb * 1_024.0) as usize,
+            changes: limits.txn_ops as usize,
+        };
+        let mut store = lock(&self.store);
+        let outcome = store.transact(transaction, request.body.len(), sizes);
+        self.epoch.send_replace(store.epoch());
+        drop(store);
+        let (answer, ended) = match &outcome {
+            Outcome::Committed(epoch) => (Answer::json(200, &Epoch { epoch: *epoch }), ""),
+            Outcome::Conflict { failed, epoch } => {
+                let failed = Failed {
+                    failed,
+                    epoch: *epoch,
+                };
+                (Answer::json(409, &failed), " (conflict)")
+            }
+            Outcome::Malformed(what) => (problem(400, what), " (refused)"),
+        };
+        let name = format!("{shape}{ended}");
+        self.world.transactions.add(&name, 1);
+        for kind in kinds {
+            self.world.changes.add(&format!("{kind}{ended}"), 1);
+        }
+        answer
+    }
+
+    async fn watch(&self, request: &Incoming, controller: u32) -> Answer {
+        let under = request.word("under");
+        let since = request.number("since").unwrap_or(0);
+        let hold = request.number("holdMs").unwrap_or(0).min(MOST_HOLD_MS);
+        let ends_ms = self.world.now_ms() + hold;
+        let mut epochs = self.epoch.subscribe();
+        loop {
+            epochs.mark_unchanged();
+            let news = {
+                let store = lock(&self.store);
+                (store.epoch(), store.news(under, since))
+            };
+            let serves = self.serves(controller);
+            let now_ms = self.world.now_ms();
+            match news {
+                (_, None) if serves => return Answer::json(410, &Epoch { epoch: news.0 }),
+                (epoch, Some(news)) if serves && (!news.is_empty() || now_ms >= ends_ms) => {
+                    return Answer::json(200, &WatchAnswer { epoch, news });
+                }
+                _ => {}
+            }
+            // An open watch waits through an outage.
+            let left = ends_ms.saturating_sub(now_ms).clamp(20, 250);
+            let _ = timeout(Duration::from_millis(left), epochs.changed()).await;
+        }
+    }
+
+    fn lease(&self, request: &Incoming, rest: &str) -> Answer {
+        let now_ms = self.world.now_ms();
+        let mut store = lock(&self.store);
+        let parts: Vec<&str> = rest.split('/').filter(|part| !part.is_empty()).collect();
+        let id = parts.first().and_then(|id| id.parse::<u64>().ok());
+        let held = match (&request.method, id, parts.get(1)) {
+            (&Method::POST, None, None) => {
+                let asked = serde_json::from_slice::<LeaseRequest>(&request.body);
+                let life = asked.ok().map(|asked| asked.life_ms);
+                let Some(life) = life.filter(|ms| LEASE_LIFE_MS.contains(ms)) else {
+                    return problem(400, "lifeMs");
+                };
+                let tenancy = store.grant(life, now_ms);
+                return Answer::json(200, &LeaseAnswer { tenancy });
+            }
+            (&Method::POST, Some(id), Some(&"touch")) => store.renew(id, now_ms),
+            (&Method::DELETE, Some(id), None) => store.end(id),
+            _ => return problem(400, "malformed"),
+        };
+        self.epoch.send_replace(store.epoch());
+        match (held, id) {
+            (true, Some(tenancy)) => Answer::json(200, &LeaseAnswer { tenancy }),
+            _ => problem(404, "no such lease"),
+        }
+    }
+
+    async fn expire_leases(self: Arc<Self>) {
+        loop {
+            sleep(LEASE_CHECK).await;
+            if self.down.load(Relaxed) {
+                continue;
+            }
+            let mut store = lock(&self.store);
+            if store.expire(self.world.now_ms()) {
+                self.epoch.send_replace(store.epoch());
+            }
+        }
+    }
+}
+
+fn problem(status: u16, error: &str) -> Answer {
+    Answer::json(status, &Problem { error })
+}
+
+fn kind(request: &Incoming) -> Kind {
+    match request.path.as_str() {
+        "/txn" => Kind::StateTransaction,
+        "/watch" => Kind::StateWatch,
+        "/keys" => Kind::StateList,
+        path if path.starts_with("/leases") => Kind::StateLease,
+        _ => Kind::StateRead,
+    }
+}
+
+/// The kinds of records that a transaction changes, each once: `chunk+team` for a claim.
+fn shape(transaction: &Transaction) -> String {
+    let kinds: BTreeSet<String> = (transaction.apply.iter())
+        .map(|change| kind_of(change.key()))
+        .collect();
+    let kinds: Vec<String> = kinds.into_iter().collect();
+    kinds.join("+")
+}
--- /dev/null
+++ b/crates/edge/tests/plans.rs
@@ -0,0 +1,87 @@
+//! Plans, results and slopes: good ones are taken, bad ones are named in one line.
+
+use glenmount_edge::plan::Plan;
+use glenmount_edge::result::Earlier;
+use glenmount_edge::slopes::fit;
+
+const TARGET: &str = include_str!("../plans/target.toml");
+
+fn problem(changes: &[&str]) -> String {
+    let changes: Vec<String> = changes.iter().map(|c| c.to_string()).collect();
+    let error = Plan::parse(TARGET, &changes).unwrap_err().to_string();
+    assert!(!error.contains('\n'), "{error}");
+    error
+}
+
+#[test]
+fn all_plans_are_sound() {
+    let plan = Plan::parse(TARGET, &["workers.count=4000".into()]).unwrap();
+    assert_eq!((plan.workers.count, plan.zones().len()), (4_000, 13));
+    for text in [
+        include_str!("../plans/small.toml"),
+        include_str!("../plans/steady.toml"),
+        include_str!("../plans/peak.toml"),
+    ] {
+        Plan::parse(text, &[]).unwrap();
+    }
+}
+
+#[test]
+fn an_absurd_plan_is_refused_by_the_field() {
+    for (change, field) in [
+        ("workers.count=0", "workers.count"),
+        ("workers.count=900000", "workers.count"),
+        ("controllers.count=9", "controllers.count"),
+        ("teams.cpus=1e6", "teams.cpus"),
+        ("teams.count=20000", "teams.count"),
+        ("state.rps=nan", "state.rps"),
+        ("state.rps=-1", "state.rps"),
+        ("jobs.1.rate=900.0", "jobs.rate"),
+        ("jobs.1.tasks=[9, 2]", "jobs.tasks"),
+        ("jobs.1.cpus=17.0", "jobs.cpus"),
+        ("jobs.0.run_s=5.0", "jobs.run_s"),
+        ("jobs.1.class=\"router\"", "jobs.class"),
+        ("troubles.0.count=0", "troubles.count"),
+        ("troubles.0.at_s=9000", "troubles.at_s"),
+        ("troubles.3.controller=8", "troubles.controller"),
+        ("troubles.7.place=\"nowhere\"", "troubles.place"),
+        ("regions.0.zones=[]", "regions.zones"),
+        ("regions.0.zones=[\"east-a\"]", "regions.zones"),
+        ("workers.colour=3", "workers.colour"),
+        ("workers.count", "workers.count"),
+        ("workers.count=\"many\"", "plan"),
+    ] {
+        let said = problem(&[change]);
+        assert!(said.starts_with(field), "{change}: {said}");
+    }
+    let unknown = TARGET.replace("seed = 1", "seed = 1\ncolour = 3");
+    let said = Plan::parse(&unknown, &[]).unwrap_err().to_string();
+    assert!(said.contains("colour"), "{said}");
+    assert!(Plan::parse("name = [", &[]).is_err());
+}
+
+#[test]
+fn a_result_that_is_damaged_is_refused() {
+    let folder = std::env::temp_dir().join(format!("glenmount-plans-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("result.json");
+    for text in ["", "{", "{\"figures\":{\"seconds\":\"long\"}}", "[]"] {
+        std::fs::write(&path, text).unwrap();
+        let said = Earlier::read(&path).unwrap_err();
+        assert!(
+            said.contains("result.json") && !said.contains('\n'),
+            "{said}"
+        );
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn a_line_is_found_and_what_is_none_is_told() {
+    let line = fit(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]).unwrap();
+    assert!((line.base - 3.0).abs() < 1e-9 && (line.slope - 2.0).abs() < 1e-9);
+    assert!(line.residual < 1e-9 && line.fits() && (line.at(10.0) - 23.0).abs() < 1e-9);
+    let square = fit(&[(1.0, 1.0), (2.0, 4.0), (4.0, 16.0), (8.0, 64.0)]).unwrap();
+    assert!(!square.fits() && (square.power.unwrap() - 2.0).abs() < 1e-9);
+    assert!(fit(&[(1.0, 1.0)]).is_none());
+}
