Records apart: keys, values, the copy, transactions; standard names

records.rs had 1,309 lines of four jobs. They are now records/key.rs, values.rs, cache.rs, dependents.rs and transaction.rs; each knows only what stands before it, and the dependents no longer live with the pipelines that read them. Draft is TransactionBuilder, Doors AdmissionControl, Sight Liveness, Beat Heartbeat. Stored and wire names as they were; no behaviour changed, no test changed but for the names.

Before: one circle of 25 files, records.rs among them, with pipelines.rs. After: records/ has no circle among its parts.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -66,14 +66,14 @@
 
 /// One for each kind of request that costs a change. A flood of cancellations would else leave none for
 /// results, by which they are told.
-pub struct Doors {
+pub struct AdmissionControl {
     pub submissions: Admission,
     pub cancellations: Admission,
 }
 
-impl Doors {
-    pub fn new(rps: f64, now: Millis) -> Doors {
-        Doors {
+impl AdmissionControl {
+    pub fn new(rps: f64, now: Millis) -> AdmissionControl {
+        AdmissionControl {
             submissions: Admission::new(rps, now),
             cancellations: Admission::new(rps, now),
         }
--- a/crates/core/src/cancels.rs
+++ b/crates/core/src/cancels.rs
@@ -29,7 +29,7 @@
         if self.settle_busy || self.cache.format() < formats::SETTLED {
             return;
         }
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         match (settled, self.cache.term()) {
             (0, _) => {
                 let version = formats::SETTLED;
--- a/crates/core/src/checks.rs
+++ b/crates/core/src/checks.rs
@@ -5,7 +5,7 @@
 
 use crate::model::Millis;
 use crate::node::Node;
-use crate::signs::Sight;
+use crate::signs::Liveness;
 
 /// All hold in the service: no settings file has them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,7 +95,7 @@
 
     /// Whether a machine's own report has come in since then, here or at a sibling. Work is placed
     /// on it before all others have reported.
-    pub(crate) fn reported(&self, sight: &Sight) -> bool {
+    pub(crate) fn reported(&self, sight: &Liveness) -> bool {
         let since = |at: Millis| at >= self.woke;
         let round = self.now - self.woke >= self.settings.report_due_ms();
         !self.settings.checks.heard || round || sight.check_in().is_some_and(since)
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -53,7 +53,12 @@
 
 /// Live tasks per zone of a job, as the draft sees them. A machine that is not on record
 /// counts for every zone: that can only refuse too much.
-pub fn zones_of(draft: &Draft, job: &JobRecord, id: &str, zones: &[String]) -> PlaceRecord {
+pub fn zones_of(
+    draft: &TransactionBuilder,
+    job: &JobRecord,
+    id: &str,
+    zones: &[String],
+) -> PlaceRecord {
     let mut places = PlaceRecord::default();
     for n in 0..job.chunks() {
         let Some(chunk) = draft.chunk(id, n) else {
@@ -93,7 +98,7 @@
 
 /// Books one task on a machine with `room` left. A refusal leaves the draft without the claim.
 pub fn claim(
-    draft: &mut Draft,
+    draft: &mut TransactionBuilder,
     settings: &Settings,
     machine_id: &str,
     room: &Room,
@@ -200,7 +205,7 @@
 }
 
 /// Most changes that a release adds to a draft.
-pub fn release_changes(draft: &Draft, task: &TaskId, outcome: Outcome) -> usize {
+pub fn release_changes(draft: &TransactionBuilder, task: &TaskId, outcome: Outcome) -> usize {
     let Some(job) = draft.cache.job(&task.job) else {
         return 0;
     };
@@ -223,7 +228,13 @@
 
 /// Ends the booking of an attempt that is proven gone. The caller holds the proof.
 /// `release_changes` says how many records are changed by it.
-pub fn release(draft: &mut Draft, task: &TaskId, attempt: u64, outcome: Outcome, wall: WallMs) {
+pub fn release(
+    draft: &mut TransactionBuilder,
+    task: &TaskId,
+    attempt: u64,
+    outcome: Outcome,
+    wall: WallMs,
+) {
     let cache = draft.cache;
     let Some(job) = cache.job(&task.job) else {
         return;
@@ -277,7 +288,7 @@
 }
 
 /// A machine on which tasks of several jobs fail with no success between takes no more work.
-fn note_fault(draft: &mut Draft, machine_id: &str, job: &str, outcome: Outcome) {
+fn note_fault(draft: &mut TransactionBuilder, machine_id: &str, job: &str, outcome: Outcome) {
     let Some(record) = draft.cache.machine(machine_id) else {
         return;
     };
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -114,7 +114,7 @@
         };
         if let Some(job) = self.cache.job(&ask.job).cloned() {
             if matches!(ask.want, Want::Cancel) && !self.over(&ask.job, &job) {
-                let mut draft = Draft::new(&self.cache);
+                let mut draft = TransactionBuilder::new(&self.cache);
                 if job.phase == Phase::Cancelled {
                     self.await_end(request);
                     return;
@@ -152,7 +152,7 @@
             return;
         }
         let record = self.accepted(spec);
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         draft.put(Key::Job(ask.job), Record::Job(record));
         let txn = draft.finish();
         self.commit(txn, Purpose::Ask(request), Priority::User);
--- a/crates/core/src/learned.rs
+++ b/crates/core/src/learned.rs
@@ -317,7 +317,7 @@
             at: self.wall,
             packed: history.pack(),
         };
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         draft.put(Key::Runs(class), Record::Runs(record));
         let kept: Vec<(WallMs, u64)> = self.cache.all_runs().map(|(c, r, _)| (r.at, *c)).collect();
         let new = self.cache.class_runs(&class).is_none();
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -90,7 +90,7 @@
     ) -> Waiting {
         let own = (spec.together || spec.scatter) && job.tasks > 1;
         let zones = match own {
-            true => claims::zones_of(&Draft::new(cache), job, id, &settings.zones),
+            true => claims::zones_of(&TransactionBuilder::new(cache), job, id, &settings.zones),
             false => PlaceRecord::default(),
         };
         let ready_at = cache.ready_at(job);
@@ -610,7 +610,7 @@
         types,
         wall,
     };
-    let mut draft = Draft::limited(cache, most);
+    let mut draft = TransactionBuilder::limited(cache, most);
     let mut result = Plan::default();
     let mut reserve = Reserve::new(cache, settings, types, work, machines, wall);
     // Claims only take room: what fits none of the work now never will in this lookup.
@@ -659,7 +659,7 @@
     /// or the transaction is full.
     fn serve(
         &self,
-        draft: &mut Draft,
+        draft: &mut TransactionBuilder,
         reserve: &mut Reserve,
         waiting: &mut Waiting,
         machines: &mut [Candidate],
--- a/crates/core/src/lost.rs
+++ b/crates/core/src/lost.rs
@@ -206,7 +206,7 @@
             goals.sort();
             let limited = spec.together || spec.scatter;
             let places = places.entry(task.job.clone()).or_insert_with(|| {
-                let draft = Draft::new(&self.cache);
+                let draft = TransactionBuilder::new(&self.cache);
                 // A job that is to stay together moves as a whole: its other tasks are lost as well.
                 match spec.scatter && job.tasks > 1 {
                     true => claims::zones_of(&draft, job, &task.job, &self.settings.zones),
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -9,7 +9,7 @@
 use crate::node::*;
 use crate::records::*;
 use crate::results::{Ended, Travel};
-use crate::signs::{OfMachine, Sight};
+use crate::signs::{Liveness, OfMachine};
 use crate::silence::Survey;
 use crate::standby::Sibling;
 use foldhash::HashMap;
@@ -519,7 +519,7 @@
 
     /// How a start gets from here to a machine: by a direct command, unless the last one
     /// failed; then by the answer to a check-in.
-    pub(crate) fn carrier(&self, sight: &Sight, m: &MachineRecord) -> Carrier {
+    pub(crate) fn carrier(&self, sight: &Liveness, m: &MachineRecord) -> Carrier {
         let refused = sight.of.refused;
         let failed = refused.is_some_and(|at| self.now < at + COMMAND_PAUSE_MS);
         let session = sight.session();
@@ -857,7 +857,7 @@
     /// When any node last got a machine's check-in, as far as is known here. A machine that
     /// has just come up may have reported to a sibling whose next beat is still to come, so
     /// this counts from when it was first seen up here.
-    pub(crate) fn heard_at_of(&self, sight: &Sight) -> Millis {
+    pub(crate) fn heard_at_of(&self, sight: &Liveness) -> Millis {
         let seen = sight.of.up.unwrap_or(self.now);
         let own = sight.own.map_or(seen, |h| h.at.max(seen));
         own.max(sight.told.map_or(0, |t| t.at))
@@ -874,7 +874,7 @@
         self.silence_of(&self.sight(id))
     }
 
-    pub(crate) fn silence_of(&self, sight: &Sight) -> Millis {
+    pub(crate) fn silence_of(&self, sight: &Liveness) -> Millis {
         let answered = sight.of.answered.unwrap_or(0);
         self.now - self.heard_at_of(sight).max(answered)
     }
@@ -922,7 +922,7 @@
         self.recently_heard_of(&self.sight(id))
     }
 
-    pub(crate) fn recently_heard_of(&self, sight: &Sight) -> bool {
+    pub(crate) fn recently_heard_of(&self, sight: &Liveness) -> bool {
         self.now - self.heard_at_of(sight) < self.settings.report_ms * 5 / 2
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,6 +1,6 @@
 //! One controller node: takes events, keeps the copy of the records, and emits effects.
 
-use crate::admission::Doors;
+use crate::admission::AdmissionControl;
 use crate::allowance::Allowance;
 use crate::constants::*;
 use crate::formats::{self, FormatRecord};
@@ -106,7 +106,7 @@
 
 /// What nodes tell one another, twice a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     pub node: String,
     /// The time of day at which it was made.
     pub at: WallMs,
@@ -195,7 +195,7 @@
         token: Token,
         answer: CloudAnswer,
     },
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// The connection by which a sibling told its beats ended, and it has no other.
     LinkEnded {
         node: String,
@@ -263,7 +263,7 @@
     Watch {
         since: u64,
     },
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// One direct command to a worker, never repeated.
     Command {
         machine: String,
@@ -378,7 +378,7 @@
     pub(crate) trailing_since: Option<Millis>,
     pub(crate) watch_opened: Millis,
     pub(crate) asks: BTreeMap<RequestId, Ask>,
-    pub(crate) admission: Doors,
+    pub(crate) admission: AdmissionControl,
     /// Those of them that wait for the last tasks of a cancelled job to go.
     pub(crate) ending_asks: BTreeSet<RequestId>,
     pub(crate) settle_busy: bool,
@@ -477,7 +477,7 @@
         let writes = Allowance::new(settings.write_rps, WRITE_BURST_S, now);
         let flush_ops = settings.txn_ops;
         let admitted = settings.write_rps.min(settings.next_write_rps);
-        let admission = Doors::new(admitted, now);
+        let admission = AdmissionControl::new(admitted, now);
         let mut cache = Cache::default();
         cache.members = match settings.checks.format {
             true => settings.nodes.clone(),
@@ -608,7 +608,7 @@
                     self.heed_answer(&report);
                 }
             }
-            Event::Beat(beat) => self.heed(beat),
+            Event::Heartbeat(beat) => self.heed(beat),
             Event::LinkEnded { node } => self.link_ended(&node),
             Event::Leave => self.leave(),
         }
@@ -691,7 +691,7 @@
         }
         let known = self.cache.format_of(&self.settings.node);
         if known < formats::LATEST && !self.format_busy {
-            let mut draft = Draft::new(&self.cache);
+            let mut draft = TransactionBuilder::new(&self.cache);
             let version = formats::LATEST;
             let key = Key::Format(self.settings.node.clone());
             draft.put(key, Record::Format(FormatRecord { version }));
@@ -892,7 +892,7 @@
             return;
         }
         if self.cache.term().is_none() && !self.term_busy {
-            let mut draft = Draft::new(&self.cache);
+            let mut draft = TransactionBuilder::new(&self.cache);
             draft.put(Key::Term, Record::Term(TermRecord { term: 1 }));
             let txn = draft.finish();
             self.term_busy = true;
--- a/crates/core/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -8,62 +8,6 @@
 use crate::model::*;
 use crate::records::*;
 use foldhash::{HashMap, HashMapExt};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// Open jobs by the jobs that they await, and those that need a cancelled one.
-#[derive(Debug, Default)]
-pub struct Dependents {
-    by_awaited: BTreeMap<String, BTreeSet<String>>,
-    doomed: BTreeSet<String>,
-}
-
-impl Dependents {
-    /// Open jobs that need a cancelled one.
-    pub fn doomed(&self) -> &BTreeSet<String> {
-        &self.doomed
-    }
-    /// Open jobs that name this one.
-    pub fn of(&self, id: &str) -> Vec<String> {
-        self.by_awaited
-            .get(id)
-            .map_or(Vec::new(), |d| d.iter().cloned().collect())
-    }
-    /// A job awaits others now: none, once it is over.
-    pub(crate) fn link(&mut self, id: &str, before: &[String], now: &[String]) {
-        if before != now {
-            for awaited in before {
-                if let Some(jobs) = self.by_awaited.get_mut(awaited) {
-                    jobs.remove(id);
-                    if jobs.is_empty() {
-                        self.by_awaited.remove(awaited);
-                    }
-                }
-            }
-            for awaited in now {
-                let jobs = self.by_awaited.entry(awaited.clone()).or_default();
-                jobs.insert(id.to_string());
-            }
-        }
-        if now.is_empty() {
-            self.doomed.remove(id);
-        }
-    }
-    /// An open job needs a cancelled one, and so does all that needs it.
-    pub(crate) fn doom(&mut self, id: &str) {
-        let mut next = vec![id.to_string()];
-        while let Some(id) = next.pop() {
-            if !self.doomed.contains(&id) {
-                next.extend(self.of(&id));
-                self.doomed.insert(id);
-            }
-        }
-    }
-    pub(crate) fn cancelled(&mut self, id: &str) {
-        for dependent in self.of(id) {
-            self.doom(&dependent);
-        }
-    }
-}
 
 /// What jobs downstream make of a job: the highest rank among them, and the time of day by which
 /// it must be done for their deadlines.
@@ -90,7 +34,7 @@
 /// last job of a pipeline; passed upstream, a deadline is earlier by the run time of each job
 /// between, of which a share must do, since estimates are often too high.
 pub fn pulls(cache: &Cache, least_run_ms: &dyn Fn(&str, &JobSpec) -> u64) -> HashMap<String, Pull> {
-    let dependents = &cache.dependents().by_awaited;
+    let dependents = cache.dependents().by_awaited();
     // Open jobs downstream that are still to be looked at, per job; those without go first.
     let mut left: HashMap<&str, usize> = HashMap::new();
     let mut next: Vec<&str> = Vec::new();
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -257,7 +257,7 @@
         };
         let open = lookup::reserve_open(work, self.wall);
         let stops = preempt::victims(site, &ripe, usable, age, rank, spared, open);
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         let mut chosen = Vec::new();
         for (id, task) in stops {
             let Some(attempt) = self.cache.booking(&id, &task).map(|p| p.booking.attempt) else {
@@ -303,7 +303,7 @@
             }
             return;
         }
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         let mut fleet = draft.fleet();
         let mut hires = Vec::new();
         // The machines that it brings are named in its record.
@@ -389,7 +389,7 @@
             }
         };
         let leaving = self.moves.chosen(self.now, wishes, left, &moving);
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         if !leaving.is_empty() {
             let mut stops = Vec::new();
             for w in leaving {
@@ -476,7 +476,7 @@
             if !even || job.tasks < 2 || !whole {
                 continue;
             }
-            let draft = Draft::new(&self.cache);
+            let draft = TransactionBuilder::new(&self.cache);
             let zones = claims::zones_of(&draft, job, id, &self.settings.zones);
             let Some((fullest, n)) = zones.zones.iter().max_by_key(|(_, n)| **n) else {
                 continue;
--- /dev/null
+++ b/crates/core/src/records/transaction.rs
@@ -0,0 +1,220 @@
+//! Conditional transactions over a node's copy of the records.
+
+use super::{
+    Booking, Cache, ChunkRecord, FleetRecord, Key, MachineRecord, Phase, Record, TeamRecord,
+};
+use crate::constants::*;
+use crate::formats;
+use crate::model::*;
+use std::collections::BTreeMap;
+
+/// A transaction: all conditions must hold, then all changes take effect as one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Txn {
+    pub conditions: Vec<(Key, u64)>,
+    /// `None` removes the key.
+    pub changes: Vec<(Key, Option<Record>)>,
+    /// The format in which the records are stored.
+    pub format: u32,
+}
+
+/// Builds a transaction over the cached records. Whatever is read through it becomes a
+/// condition, so that the outcome rests on nothing that has changed meanwhile.
+pub struct TransactionBuilder<'a> {
+    pub cache: &'a Cache,
+    conditions: BTreeMap<Key, u64>,
+    changes: BTreeMap<Key, Option<Record>>,
+    /// What the claims in it add to their teams' usage.
+    claimed: BTreeMap<String, TeamRecord>,
+    /// Bytes of the changes, at most.
+    bytes: usize,
+    /// Changes that it may hold.
+    most: usize,
+}
+
+impl<'a> TransactionBuilder<'a> {
+    pub fn new(cache: &'a Cache) -> TransactionBuilder<'a> {
+        TransactionBuilder {
+            cache,
+            conditions: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            bytes: 0,
+            most: usize::MAX,
+        }
+    }
+    /// One that holds no more changes than can be sent at once.
+    pub fn limited(cache: &'a Cache, most: usize) -> TransactionBuilder<'a> {
+        TransactionBuilder {
+            most,
+            ..TransactionBuilder::new(cache)
+        }
+    }
+    /// The transaction takes effect only if this key has not changed.
+    pub fn rests_on(&mut self, key: Key) {
+        let stamp = self.cache.stamp(&key);
+        self.conditions.entry(key).or_insert(stamp);
+    }
+    pub fn machine(&mut self, id: &str) -> Option<MachineRecord> {
+        let key = Key::Machine(id.to_string());
+        self.rests_on(key.clone());
+        match self.changes.get(&key) {
+            Some(Some(Record::Machine(m))) => Some(m.clone()),
+            Some(_) => None,
+            None => self.cache.machine(id).cloned(),
+        }
+    }
+    pub fn fleet(&mut self) -> FleetRecord {
+        self.rests_on(Key::Fleet);
+        match self.changes.get(&Key::Fleet) {
+            Some(Some(Record::Fleet(f))) => f.clone(),
+            _ => self.cache.fleet(),
+        }
+    }
+    /// Whether a job's failures say nothing of machines. Of a cancelled one it is not known.
+    pub fn suspect(&self, job: &str) -> bool {
+        let Some(record) = self.cache.job(job) else {
+            return true;
+        };
+        let drafted = |(key, change): (&Key, &Option<Record>)| match (key, change) {
+            (Key::Chunk(id, _), Some(Record::Chunk(c))) if id == job => Some(c.clone()),
+            _ => None,
+        };
+        let chunks: Vec<ChunkRecord> = self.changes.iter().filter_map(drafted).collect();
+        let fails = chunks.iter().any(|c| c.failed_on.len() >= FAULTY_MACHINES);
+        let succeeds = self.cache.counts(job).done > 0 || chunks.iter().any(|c| c.done() > 0);
+        match record.phase {
+            Phase::Done => false,
+            Phase::Cancelled => true,
+            Phase::Open => !succeeds && (fails || self.cache.suspect(job)),
+        }
+    }
+    /// A chunk as this draft sees it; none if it is neither on record nor drafted.
+    pub fn chunk(&self, job: &str, n: u32) -> Option<&ChunkRecord> {
+        match self.changes.get(&Key::Chunk(job.to_string(), n)) {
+            Some(Some(Record::Chunk(c))) => Some(c),
+            Some(_) => None,
+            None => self.cache.chunk(job, n),
+        }
+    }
+    /// A task's booking as this draft sees it.
+    pub fn booking(&self, task: &TaskId) -> Option<&Booking> {
+        let n = self.cache.job(&task.job)?.chunk_of(task.index);
+        self.chunk(&task.job, n)?.booking(task.index)
+    }
+    /// A chunk to be changed; `fresh` makes one that is not on record yet.
+    pub fn chunk_mut(
+        &mut self,
+        job: &str,
+        n: u32,
+        fresh: impl FnOnce() -> Option<ChunkRecord>,
+    ) -> Option<&mut ChunkRecord> {
+        let key = Key::Chunk(job.to_string(), n);
+        if self.cache.barred(&key) {
+            return None;
+        }
+        if !self.changes.contains_key(&key) {
+            let chunk = self.cache.chunk(job, n).cloned().or_else(fresh)?;
+            self.put(key.clone(), Record::Chunk(chunk));
+        }
+        match self.changes.get_mut(&key) {
+            Some(Some(Record::Chunk(c))) => Some(c),
+            _ => None,
+        }
+    }
+    pub fn put(&mut self, key: Key, record: Record) {
+        if matches!(key, Key::Machine(_)) && self.cache.barred(&key) {
+            return;
+        }
+        self.rests_on(key.clone());
+        self.bytes += match &record {
+            Record::Chunk(c) => c.size(),
+            _ if self.changes.contains_key(&key) => 0,
+            _ => SMALL_RECORD_BYTES,
+        };
+        self.changes.insert(key, Some(record));
+    }
+    pub fn remove(&mut self, key: Key) {
+        self.rests_on(key.clone());
+        self.changes.insert(key, None);
+    }
+    /// The team's usage with what this draft claims.
+    pub fn usage(&self, team: &str) -> TeamRecord {
+        let mut usage = self.cache.usage(team);
+        if let Some(more) = self.claimed.get(team) {
+            usage.cpus = usage.cpus.saturating_add(more.cpus);
+            usage.gpus = usage.gpus.saturating_add(more.gpus);
+        }
+        usage
+    }
+    pub fn use_more(&mut self, team: &str, need: &Room) {
+        let claimed = self.claimed.entry(team.to_string()).or_default();
+        claimed.cpus = claimed.cpus.saturating_add(need.cpus);
+        claimed.gpus = claimed.gpus.saturating_add(need.gpus);
+    }
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+    pub fn touches(&self, key: &Key) -> bool {
+        self.changes.contains_key(key)
+    }
+    pub fn ops(&self) -> usize {
+        self.changes.len()
+    }
+    /// Whether so many more changes and conditions, and so many bytes, keep the state
+    /// service's limits.
+    pub fn has_room(
+        &self,
+        settings: &Settings,
+        changes: usize,
+        conditions: usize,
+        bytes: usize,
+    ) -> bool {
+        self.changes.len() + changes <= settings.txn_ops.min(self.most)
+            && self.conditions.len() + conditions <= settings.txn_ops * CONDITIONS_PER_OP
+            && self.bytes + self.conditions.len() * KEY_BYTES + bytes <= TXN_BYTES
+    }
+    /// A changed record became larger.
+    pub fn grow(&mut self, bytes: usize) {
+        self.bytes += bytes;
+    }
+    /// Takes out chunks that have become too large for a value, and names them with their size.
+    /// A chunk that a version before format 2 stored beyond the smaller of two limits is written
+    /// again in that format as long as it does not grow: the larger limit holds while such a
+    /// version serves. All else in the transaction goes ahead.
+    pub fn drop_oversized(&mut self, value_bytes: u64) -> Vec<(Key, usize)> {
+        let format = self.cache.format();
+        let mut large = Vec::new();
+        for (key, change) in &self.changes {
+            let (Key::Chunk(job, n), Some(Record::Chunk(c))) = (key, change) else {
+                continue;
+            };
+            if c.size() as u64 <= value_bytes {
+                continue;
+            }
+            let bytes = |c: &ChunkRecord| {
+                let record = Record::Chunk(c.clone());
+                formats::stored_bytes(&record, format)
+            };
+            let now = bytes(c);
+            let before = match format {
+                formats::OLDEST => self.cache.chunk(job, *n).map_or(0, bytes),
+                _ => 0,
+            };
+            if now > before.max(value_bytes as usize) {
+                large.push((key.clone(), now));
+            }
+        }
+        for (key, _) in &large {
+            self.changes.remove(key);
+        }
+        large
+    }
+    pub fn finish(self) -> Txn {
+        Txn {
+            format: self.cache.format(),
+            conditions: self.conditions.into_iter().collect(),
+            changes: self.changes.into_iter().collect(),
+        }
+    }
+}
--- a/crates/core/src/rentals.rs
+++ b/crates/core/src/rentals.rs
@@ -81,7 +81,7 @@
         if formats::stored_bytes(&record, formats::LATEST) as u64 > self.settings.value_bytes {
             return; // more types than a value holds: each node reads them from the cloud
         }
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         draft.put(Key::Types, record);
         let txn = draft.finish();
         self.commit(txn, Purpose::Types, Priority::Housekeeping);
@@ -119,7 +119,7 @@
             "rented"
         );
         let wall = self.wall;
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         if (hosts.len() as u32) < hire.count {
             let mut fleet = draft.fleet();
             fleet.refused.retain(|_, until| *until > wall);
@@ -169,7 +169,7 @@
             .map(|(n, _, _)| *n)
             .collect();
         for n in due {
-            let mut draft = Draft::new(&self.cache);
+            let mut draft = TransactionBuilder::new(&self.cache);
             draft.remove(Key::Hire(n));
             let txn = draft.finish();
             self.tidying.insert(n);
@@ -232,7 +232,7 @@
                     let since = *self.strange.entry(host.name.clone()).or_insert(now);
                     if now >= since + lag {
                         self.strange.remove(&host.name);
-                        let mut draft = Draft::new(&self.cache);
+                        let mut draft = TransactionBuilder::new(&self.cache);
                         draft.put(
                             Key::Machine(host.name.clone()),
                             Record::Machine(MachineRecord::new(
--- a/crates/core/src/results.rs
+++ b/crates/core/src/results.rs
@@ -70,9 +70,9 @@
             false => left.min(self.flush_ops),
         };
         let most = most.max(WRITES_LEAST);
-        let mut draft = Draft::limited(&self.cache, most);
+        let mut draft = TransactionBuilder::limited(&self.cache, most);
         let settings = &self.settings;
-        let room = |draft: &Draft, ops: usize| {
+        let room = |draft: &TransactionBuilder, ops: usize| {
             let bytes = settings.value_bytes as usize + 2 * SMALL_RECORD_BYTES;
             draft.has_room(settings, ops, ops, bytes)
         };
@@ -183,7 +183,7 @@
     }
 
     /// Drafts that a machine is to be deleted; says whether there was need to.
-    fn draft_deletion(&self, draft: &mut Draft, id: &str, why: &str) -> bool {
+    fn draft_deletion(&self, draft: &mut TransactionBuilder, id: &str, why: &str) -> bool {
         let Some(mut machine) = draft.machine(id).or_else(|| self.rented_record(id)) else {
             return false;
         };
@@ -292,7 +292,7 @@
     /// Changes one booking; the caller has seen to the transaction's room.
     pub(crate) fn edit_booking(
         &self,
-        draft: &mut Draft,
+        draft: &mut TransactionBuilder,
         task: &TaskId,
         attempt: u64,
         edit: impl FnOnce(&mut Booking),
--- a/crates/core/src/signs.rs
+++ b/crates/core/src/signs.rs
@@ -40,13 +40,13 @@
 /// All that is known of a machine's life, looked up once: lookups and judging ask for every part of
 /// it, of every machine.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Sight<'a> {
+pub(crate) struct Liveness<'a> {
     pub own: Option<&'a Heard>,
     pub told: Option<&'a Told>,
     pub of: OfMachine,
 }
 
-impl Sight<'_> {
+impl Liveness<'_> {
     /// When any node last got a check-in of it, if ever.
     pub fn check_in(&self) -> Option<Millis> {
         self.own.map(|h| h.at).max(self.told.map(|t| t.at))
@@ -74,8 +74,8 @@
 }
 
 impl Node {
-    pub(crate) fn sight(&self, id: &str) -> Sight<'_> {
-        Sight {
+    pub(crate) fn sight(&self, id: &str) -> Liveness<'_> {
+        Liveness {
             own: self.heard.get(id),
             told: self.standby.told(id),
             of: self.signs.of(id),
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -6,7 +6,7 @@
 use crate::model::*;
 use crate::moves::Wish;
 use crate::node::*;
-use crate::signs::Sight;
+use crate::signs::Liveness;
 use crate::zones::{Kind, Turn, Why};
 use std::collections::BTreeMap;
 
@@ -174,7 +174,7 @@
     /// Whether a machine has answered a direct command after its check-in was overdue: its reports reach no
     /// node, and its lease ends with all that it runs, unless it finds one in time. A sibling that is not
     /// heard may well hear it.
-    pub(crate) fn is_mute(&self, sight: &Sight) -> bool {
+    pub(crate) fn is_mute(&self, sight: &Liveness) -> bool {
         let overdue = self.settings.report_due_ms() + PROBE_AFTER_MS;
         let late = |at: Millis| sight.of.answered.is_some_and(|a| a > at + overdue);
         self.settings.checks.mute && sight.check_in().is_some_and(late) && self.hears_all()
@@ -199,7 +199,7 @@
     /// would end with it. Not where so many are that it is rather the nodes that workers do not reach.
     pub(crate) fn mute_services(&self) -> Vec<Wish> {
         let half = self.settings.lease_ms / 2;
-        let lapses = |sight: &Sight| {
+        let lapses = |sight: &Liveness| {
             let heard = sight.check_in().is_some_and(|at| self.now >= at + half);
             heard && self.is_mute(sight) && sight.of.silent_since().is_none()
         };
@@ -224,7 +224,7 @@
         self.reachable_by(&self.sight(id), zone)
     }
 
-    pub(crate) fn reachable_by(&self, sight: &Sight, zone: &str) -> bool {
+    pub(crate) fn reachable_by(&self, sight: &Liveness, zone: &str) -> bool {
         self.recently_heard_of(sight)
             && !self.is_mute(sight)
             && !self.zone_quiet(zone)
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -9,7 +9,7 @@
 
 use crate::constants::*;
 use crate::model::*;
-use crate::node::{Beat, Heard, Said};
+use crate::node::{Heard, Heartbeat, Said};
 use crate::tuning::Tuning;
 use foldhash::{HashMap, HashMapExt};
 use std::collections::{BTreeMap, BTreeSet};
@@ -91,7 +91,7 @@
 pub(crate) struct Sibling {
     /// When its last beat was taken up.
     pub at: Millis,
-    pub beat: Beat,
+    pub beat: Heartbeat,
     rhythm: Rhythm,
     /// Its link ended, and no beat has come since.
     link_ended: bool,
@@ -255,7 +255,7 @@
         &mut self,
         now: Millis,
         wall: WallMs,
-        beat: Beat,
+        beat: Heartbeat,
         own: &HashMap<String, Heard>,
     ) -> Heeded {
         if let Some(why) = self.refusal(now, wall, &beat) {
@@ -264,7 +264,7 @@
             return Heeded::Dropped(why);
         }
         self.told_of(now, &beat, own);
-        let life = |b: &Beat| b.said.as_ref().map(|s| s.life);
+        let life = |b: &Heartbeat| b.said.as_ref().map(|s| s.life);
         let known = self.siblings.get(&beat.node);
         let appeared = known.is_none_or(|s| !s.beat.young || life(&s.beat) < life(&beat));
         let appeared = appeared && beat.young;
@@ -554,7 +554,7 @@
 
     // ---- How it judges ------------------------------------------------------------------
 
-    fn refusal(&self, now: Millis, wall: WallMs, beat: &Beat) -> Option<Dropped> {
+    fn refusal(&self, now: Millis, wall: WallMs, beat: &Heartbeat) -> Option<Dropped> {
         let off = 2 * self.clock_off_ms;
         if beat.node == self.me || !self.members.contains(&beat.node) {
             return Some(Dropped::Stranger);
@@ -625,7 +625,7 @@
     /// Keeps what siblings say they heard. It must outlive their next beat: a node that has
     /// just restarted has heard of nothing, and machines that had reported to it would seem
     /// silent for as long as this node has not heard of them.
-    fn told_of(&mut self, now: Millis, beat: &Beat, own: &HashMap<String, Heard>) {
+    fn told_of(&mut self, now: Millis, beat: &Heartbeat, own: &HashMap<String, Heard>) {
         for (id, session, tally, age) in &beat.heard {
             let at = now.saturating_sub(*age);
             let mark = (*session, *tally);
@@ -688,9 +688,9 @@
         Standby::of("a".into(), members, 1_000, 11_250, Tuning::default(), WALL)
     }
 
-    fn beat(node: &str, at: Millis, count: u64, hears: &[&str]) -> Beat {
+    fn beat(node: &str, at: Millis, count: u64, hears: &[&str]) -> Heartbeat {
         let heard = (0..20).map(|i| (format!("{node}-{i}"), 1, 1 + at / 5_000, 100));
-        Beat {
+        Heartbeat {
             node: node.into(),
             at: WALL + at,
             state_ok: true,
@@ -702,7 +702,7 @@
                 hears: hears.iter().map(|n| n.to_string()).collect(),
                 ..Said::default()
             }),
-            ..Beat::default()
+            ..Heartbeat::default()
         }
     }
 
@@ -835,8 +835,9 @@
         followed(&mut s, 10_000);
         let mut next = beat("b", 10_200, 0, &[]);
         next.said.as_mut().unwrap().life -= 300;
-        let heed =
-            |s: &mut Standby, at, beat: &Beat| s.heed(at, WALL + at, beat.clone(), &HashMap::new());
+        let heed = |s: &mut Standby, at, beat: &Heartbeat| {
+            s.heed(at, WALL + at, beat.clone(), &HashMap::new())
+        };
         let dropped = Heeded::Dropped(Dropped::EarlierLife);
         assert_eq!(heed(&mut s, 10_200, &next), dropped);
         s.link_ended("b");
--- a/crates/core/src/sweeping.rs
+++ b/crates/core/src/sweeping.rs
@@ -19,7 +19,7 @@
             }
         }
         for (id, over) in due {
-            let mut draft = Draft::new(&self.cache);
+            let mut draft = TransactionBuilder::new(&self.cache);
             draft.put(Key::Job(id.clone()), Record::Job(over));
             let txn = draft.finish();
             self.finishing.insert(id.clone());
@@ -50,7 +50,7 @@
         if self.cascade_busy || most == 0 || !self.state_ok() {
             return;
         }
-        let mut draft = Draft::limited(&self.cache, most);
+        let mut draft = TransactionBuilder::limited(&self.cache, most);
         let mut jobs = Vec::new();
         for id in self.cache.dependents().doomed() {
             let Some(job) = self.cache.job(id).filter(|_| self.cache.doomed(id)) else {
@@ -75,7 +75,7 @@
         if self.sweep_busy {
             return;
         }
-        let mut draft = Draft::new(&self.cache);
+        let mut draft = TransactionBuilder::new(&self.cache);
         for (job, counts) in self.cache.counted() {
             let over = self.cache.job(job).is_some_and(|j| j.phase != Phase::Open);
             if !over || counts.booked > 0 {
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -10,7 +10,7 @@
 use crate::starts::Attempt;
 
 impl Node {
-    pub(crate) fn heed(&mut self, beat: Beat) {
+    pub(crate) fn heed(&mut self, beat: Heartbeat) {
         let images = beat.images.clone();
         let before = self.standby.sibling(&beat.node);
         // What a sibling had half a second ago, and this copy still lacks.
@@ -120,7 +120,7 @@
         };
         // Versions before format 2 refuse a beat with an element more.
         let longer = self.loaded && self.cache.format() >= crate::formats::PIPELINES;
-        self.emit(Effect::Beat(Beat {
+        self.emit(Effect::Heartbeat(Heartbeat {
             node: self.settings.node.clone(),
             at: self.wall,
             state_ok: self.state_ok(),
--- a/crates/core/tests/standby.rs
+++ b/crates/core/tests/standby.rs
@@ -274,12 +274,12 @@
     let mut w = fleet(130, 3, 30);
     busy(&mut w);
     let now = WALL0 + w.now;
-    let forged = |node: &str, at| Beat {
+    let forged = |node: &str, at| Heartbeat {
         node: node.into(),
         at,
         state_ok: false,
         workers_ok: false,
-        ..Beat::default()
+        ..Heartbeat::default()
     };
     let mut large = forged("node-0", now);
     large.heard = (0..1_000_000)
--- a/crates/glenmount/src/costs.rs
+++ b/crates/glenmount/src/costs.rs
@@ -24,7 +24,7 @@
         Event::Cancel { .. } => 4,
         Event::State { .. } => 5,
         Event::Watched { .. } => 6,
-        Event::Beat(_) => 7,
+        Event::Heartbeat(_) => 7,
         Event::Commanded { .. } => 8,
         Event::Throttled
         | Event::Unanswered { .. }
--- a/crates/glenmount/src/main.rs
+++ b/crates/glenmount/src/main.rs
@@ -13,7 +13,7 @@
 mod workers;
 
 use clap::Parser;
-use glenmount_core::node::{Beat, Effect, Event, Node};
+use glenmount_core::node::{Effect, Event, Heartbeat, Node};
 use server::{Call, Door, Reached};
 use settings::Config;
 use std::collections::hash_map::RandomState;
@@ -154,7 +154,7 @@
     };
     let cluster = listen("cluster_listen", config.cluster_listen).await?;
     peer::listen(cluster, events_in.clone());
-    let (beat_in, beats) = watch::channel(Beat::default());
+    let (beat_in, beats) = watch::channel(Heartbeat::default());
     for (_, addr) in &config.siblings {
         peer::tell(*addr, beats.clone());
     }
@@ -280,7 +280,7 @@
                     let body = wire::command(session, token, &orders);
                     workers.send(machine, &address, body, what);
                 }
-                Effect::Beat(beat) => {
+                Effect::Heartbeat(beat) => {
                     let _ = beat_in.send(beat);
                 }
                 Effect::End => {
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -3,7 +3,7 @@
 
 use crate::costs::FRAMES;
 use glenmount_core::constants::PEER_BEAT_MS;
-use glenmount_core::node::{Beat, Event, Said};
+use glenmount_core::node::{Event, Heartbeat, Said};
 use serde::de::{Error, IgnoredAny, SeqAccess, Visitor};
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -135,20 +135,20 @@
 /// A frame's beat. Frames are arrays: versions before format 2 refuse one with an element more, so
 /// a beat gets new ones only once every node has that format; whatever follows those that are known
 /// here is passed over.
-fn read(frame: &[u8]) -> Option<Beat> {
+fn read(frame: &[u8]) -> Option<Heartbeat> {
     struct Elements;
     impl<'de> Visitor<'de> for Elements {
-        type Value = Beat;
+        type Value = Heartbeat;
         fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
             f.write_str("the elements of a beat")
         }
-        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Beat, A::Error> {
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Heartbeat, A::Error> {
             macro_rules! next {
                 ($at:literal) => {
                     (seq.next_element()?).ok_or_else(|| Error::invalid_length($at, &self))?
                 };
             }
-            let beat = Beat {
+            let beat = Heartbeat {
                 node: next!(0),
                 at: next!(1),
                 state_ok: next!(2),
@@ -186,14 +186,14 @@
         if link.is_none() {
             *link = Some(links.begins(&beat.node));
         }
-        if core.send(Event::Beat(beat)).await.is_err() {
+        if core.send(Event::Heartbeat(beat)).await.is_err() {
             return Ok(());
         }
     }
 }
 
 /// Keeps sending the latest beat to a sibling. Beats that could not be sent are skipped.
-pub fn tell(addr: SocketAddr, mut beats: watch::Receiver<Beat>) {
+pub fn tell(addr: SocketAddr, mut beats: watch::Receiver<Heartbeat>) {
     tokio::spawn(async move {
         loop {
             let connected = timeout(PATIENCE, TcpStream::connect(addr)).await;
@@ -228,10 +228,10 @@
 mod tests {
     use super::*;
 
-    fn beat(node: &str) -> Beat {
-        Beat {
+    fn beat(node: &str) -> Heartbeat {
+        Heartbeat {
             node: node.into(),
-            ..Beat::default()
+            ..Heartbeat::default()
         }
     }
 
@@ -258,7 +258,7 @@
         longer[0] += 2;
         longer.extend([0xc3, 0x92, 0x01, 0xc0]);
         assert_eq!(read(&longer), Some(sample.clone()));
-        assert!(rmp_serde::from_slice::<Beat>(&longer).is_err());
+        assert!(rmp_serde::from_slice::<Heartbeat>(&longer).is_err());
         // This version's, and one that says more of itself.
         let said = Said {
             life: 7,
@@ -266,7 +266,7 @@
             hears: vec!["bothy-2".into()],
             ..Said::default()
         };
-        let said = Beat {
+        let said = Heartbeat {
             said: Some(said),
             ..sample
         };
@@ -287,7 +287,7 @@
     async fn a_beat_follows_the_sibling_to_a_new_connection() {
         let story = async {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let (beat_in, beats) = watch::channel(Beat::default());
+            let (beat_in, beats) = watch::channel(Heartbeat::default());
             tell(listener.local_addr().unwrap(), beats);
             let (first, _) = listener.accept().await.unwrap();
             let (core, mut events) = mpsc::channel(8);
@@ -301,7 +301,7 @@
             listen(listener, core);
             beat_in.send(beat("b")).unwrap();
             let heard = events.recv().await;
-            assert!(matches!(heard, Some(Event::Beat(b)) if b.node == "b"));
+            assert!(matches!(heard, Some(Event::Heartbeat(b)) if b.node == "b"));
         };
         timeout(Duration::from_secs(5), story)
             .await
@@ -323,7 +323,7 @@
                 let mut link = TcpStream::connect(addr).await.unwrap();
                 link.write_u32(frame.len() as u32).await.unwrap();
                 link.write_all(&frame).await.unwrap();
-                assert!(matches!(events.recv().await, Some(Event::Beat(_))));
+                assert!(matches!(events.recv().await, Some(Event::Heartbeat(_))));
                 links.push(link);
             }
             // A stranger's link names nobody.
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -712,9 +712,9 @@
     }
 
     /// Lets a beat arrive at a node, whoever made it.
-    pub fn beat_to(&mut self, n: usize, beat: Beat) {
+    pub fn beat_to(&mut self, n: usize, beat: Heartbeat) {
         let life = self.nodes[n].life;
-        self.at(1, Act::Node(n, life, Event::Beat(beat)));
+        self.at(1, Act::Node(n, life, Event::Heartbeat(beat)));
     }
 
     /// Whether what a node sends to a sibling gets there.
@@ -1129,7 +1129,7 @@
             true => seen_by_old(event),
             false => event,
         };
-        let beat = matches!(event, Event::Beat(_));
+        let beat = matches!(event, Event::Heartbeat(_));
         let begun = std::time::Instant::now();
         let effects = node.handle(now, wall, event);
         let took = begun.elapsed();
@@ -1269,12 +1269,12 @@
                     let back_after = self.nodes[n].back_after;
                     self.at(2, Act::End(n, life, back_after));
                 }
-                Effect::Beat(beat) => {
+                Effect::Heartbeat(beat) => {
                     self.beat_bytes = beat.heard.iter().map(|h| h.0.len() + 12).sum();
                     for m in 0..self.nodes.len() {
                         if self.linked(n, m) {
                             let life = self.nodes[m].life;
-                            self.at(3, Act::Node(m, life, Event::Beat(beat.clone())));
+                            self.at(3, Act::Node(m, life, Event::Heartbeat(beat.clone())));
                         }
                     }
                 }
@@ -1454,7 +1454,7 @@
                     let turn = |e: &Event| match e {
                         Event::Watched { .. } | Event::WatchGap => 0,
                         Event::State { .. } => 3,
-                        Event::Beat(_) => 5,
+                        Event::Heartbeat(_) => 5,
                         Event::CheckIn { .. } => 6,
                         _ => 7,
                     };
