--- a/crates/core/src/cancels.rs
+++ b/crates/core/src/cancels.rs
@@ -26,7 +26,7 @@
     /// `SETTLED_TERM`. A worker that has seen such a token proves that to a node without records.
     pub(crate) fn note_settled(&mut self) {
         let settled = self.cache.stamp(&Key::Settled);
-        if self.settle_busy || self.cache.format() < formats::SETTLED {
+        if self.upgrade.settle_busy || self.cache.format() < formats::SETTLED {
             return;
         }
         let mut draft = TransactionBuilder::new(&self.cache);
@@ -34,6 +34,7 @@
             (0, _) => {
                 let version = formats::SETTLED;
                 draft.put(Key::Settled, Record::Settled(SettledRecord { version }));
+                self.draft_configurable(&mut draft);
             }
             (_, Some(term)) if term < SETTLED_TERM && self.cache.epoch >= settled => {
                 let told_before = |(job, counts): (&str, Counts)| {
@@ -50,7 +51,7 @@
             _ => return,
         }
         let txn = draft.finish();
-        self.settle_busy = true;
+        self.upgrade.settle_busy = true;
         self.commit(txn, Purpose::Settle, Priority::User);
     }
 
--- a/crates/core/src/checks.rs
+++ b/crates/core/src/checks.rs
@@ -3,10 +3,6 @@
 //! what goes ahead without it. Each can be left out, in the world of the stories only, to show what
 //! it is for.
 
-use crate::model::Millis;
-use crate::node::Node;
-use crate::signs::Liveness;
-
 /// All hold in the service: no settings file has them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Checks {
@@ -55,6 +51,12 @@
     pub strangers: bool,
     /// A part of a batch of which nothing has begun for long goes first.
     pub begins: bool,
+    /// The configuration on record is followed.
+    pub configuration: bool,
+    /// Claims and acceptances are conditional on the configuration that they rest on.
+    pub configured: bool,
+    /// What is above a limit that was lowered is stopped.
+    pub eviction: bool,
 }
 
 impl Default for Checks {
@@ -82,27 +84,9 @@
             mute: true,
             strangers: true,
             begins: true,
+            configuration: true,
+            configured: true,
+            eviction: true,
         }
     }
 }
-
-impl Node {
-    /// Whether a round of reports has come in since the start, or since it stood still: what was
-    /// not heard by then is silent, and what is not there is missing.
-    pub(crate) fn settled(&self) -> bool {
-        !self.settings.checks.round || self.now - self.woke >= self.settings.report_due_ms()
-    }
-
-    /// Whether a machine's own report has come in since then, here or at a sibling. Work is placed
-    /// on it before all others have reported.
-    pub(crate) fn reported(&self, sight: &Liveness) -> bool {
-        let since = |at: Millis| at >= self.woke;
-        let round = self.now - self.woke >= self.settings.report_due_ms();
-        !self.settings.checks.heard || round || sight.check_in().is_some_and(since)
-    }
-
-    /// Whether the copy holds all that the reading page by page met.
-    pub(crate) fn caught_up_since_reading(&self) -> bool {
-        !self.settings.checks.caught_up || self.cache.epoch >= self.reading.high
-    }
-}
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -9,6 +9,7 @@
 use crate::formats;
 use crate::model::*;
 use crate::records::*;
+use crate::settings::*;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -145,7 +146,11 @@
             return Err(Refusal::WrongPlace);
         }
     }
-    let team = settings.teams.get(&spec.team).ok_or(Refusal::JobOver)?;
+    let team = settings
+        .policy
+        .teams
+        .get(&spec.team)
+        .ok_or(Refusal::JobOver)?;
     let usage = draft.usage(&spec.team);
     if !within_limit(team, &usage, &spec.need) {
         return Err(Refusal::TeamLimit);
@@ -163,7 +168,7 @@
             draft.has_room(
                 settings,
                 1 + usize::from(team) + usize::from(place),
-                5,
+                6,
                 chunk.max(fresh) + 2 * SMALL_RECORD_BYTES + booking_bytes,
             )
         }
@@ -176,6 +181,9 @@
     let attempt = cache.claim_stamp(&task.job, n);
     draft.rests_on(Key::Job(task.job.clone()));
     draft.rests_on(Key::Machine(machine_id.to_string()));
+    if settings.checks.configured {
+        draft.rests_on_revision(Key::Configuration, settings.policy.stamp);
+    }
     let chunk = draft
         .chunk_mut(&task.job, n, || Some(ChunkRecord::fresh(job, spec, n)))
         .ok_or(Refusal::JobOver)?;
--- a/crates/core/src/formats.rs
+++ b/crates/core/src/formats.rs
@@ -11,6 +11,7 @@
 //! | 1 | records as JSON objects throughout | once no site has chunks from before format 2: every chunk is gone with its job's last booking, so a day after an upgrade |
 //! | 2 | compact chunks; jobs that await others (`awaits`) | |
 //! | 3 | cancellations are told when all tasks are gone (`g/settled`); records as in 2 | |
+//! | 4 | configurations on record (`g/configurable`); teams in a form that earlier versions can't read | |
 //!
 //! A compact chunk writes its tasks as words: `=N` tasks wait, `+N` are done, and a booking is
 //! `MACHINE:ATTEMPT[:START][!STOP][*N]`. The machine's name lacks what all have in common, the
@@ -32,8 +33,10 @@
 pub const PIPELINES: u32 = 2;
 /// From this one on cancellations are told when all tasks are gone.
 pub const SETTLED: u32 = 3;
+/// From this one on configurations may be on record.
+pub const CONFIGURABLE: u32 = 4;
 /// The latest format that this version reads and writes.
-pub const LATEST: u32 = SETTLED;
+pub const LATEST: u32 = CONFIGURABLE;
 
 /// The latest format that a node reads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -135,7 +135,8 @@
             self.answer(request, UserReply::NotFound);
             return;
         };
-        if self.types.is_empty() && self.settings.checks.types {
+        let types_known = !self.types.is_empty() || !self.settings.checks.types;
+        if !types_known || !self.configuration.is_readable() {
             let reply = self.later();
             self.answer(request, reply);
             return;
@@ -154,6 +155,9 @@
         let record = self.accepted(spec);
         let mut draft = TransactionBuilder::new(&self.cache);
         draft.put(Key::Job(ask.job), Record::Job(record));
+        if self.settings.checks.configured {
+            draft.rests_on_revision(Key::Configuration, self.settings.policy.stamp);
+        }
         let txn = draft.finish();
         self.commit(txn, Purpose::Ask(request), Priority::User);
     }
@@ -300,7 +304,7 @@
 
     /// Why a job can never run, if so.
     fn never(&self, spec: &JobSpec) -> Option<String> {
-        let Some(team) = self.settings.teams.get(&spec.team) else {
+        let Some(team) = self.settings.policy.teams.get(&spec.team) else {
             return Some(format!("unknown team {}", spec.team));
         };
         let fits = self.types.values().any(|t| {
--- a/crates/core/src/lookup.rs
+++ b/crates/core/src/lookup.rs
@@ -9,6 +9,7 @@
 use crate::model::*;
 use crate::pipelines::{self, Pull};
 use crate::records::*;
+use crate::settings::*;
 use crate::turns;
 use foldhash::{HashMap, HashMapExt};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -136,9 +137,9 @@
 ) -> Vec<WallMs> {
     let own = pipelines::deadline(job, spec).into_iter();
     let deadline = own.chain(pull.and_then(|p| p.due)).min();
-    let goals = settings.goals.get(&spec.class).into_iter().flatten();
+    let goals = settings.policy.goals.get(&spec.class).into_iter().flatten();
     let goals = goals.map(|within| ready_at + within);
-    let start = settings.starts.get(&spec.class);
+    let start = settings.policy.starts.get(&spec.class);
     let start = start.filter(|_| spec.shape == Shape::Array);
     let start = start.map(|within| ready_at + within + run_ms);
     deadline
@@ -262,7 +263,7 @@
         let Some(spec) = cache.open_job(&w.job) else {
             continue;
         };
-        let Some(team) = settings.teams.get(&spec.team) else {
+        let Some(team) = settings.policy.teams.get(&spec.team) else {
             continue;
         };
         let used = usage
@@ -372,8 +373,9 @@
         }
     }
     let (from, share) = (settings.tuning.put_off_from, settings.tuning.put_off_share);
-    let names: Vec<&String> = settings.teams.keys().collect();
+    let names: Vec<&String> = settings.policy.teams.keys().collect();
     let limits = settings
+        .policy
         .teams
         .iter()
         .map(|(name, team)| match team.cpus_max {
@@ -447,7 +449,7 @@
     let mut sums: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
     let mut within = BTreeSet::new();
     for (at, id, spec) in open {
-        let Some(team) = settings.teams.get(&spec.team) else {
+        let Some(team) = settings.policy.teams.get(&spec.team) else {
             continue;
         };
         let left = u64::from(spec.tasks.saturating_sub(cache.counts(id).done));
--- a/crates/core/src/lost.rs
+++ b/crates/core/src/lost.rs
@@ -200,7 +200,13 @@
             let run_ms = pipelines::run_ms(spec);
             let ready_at = self.cache.ready_at(job);
             let deadline = pipelines::deadline(job, spec);
-            let within = self.settings.goals.get(&spec.class).into_iter().flatten();
+            let within = self
+                .settings
+                .policy
+                .goals
+                .get(&spec.class)
+                .into_iter()
+                .flatten();
             let goals = within.map(|ms| ready_at + ms).chain(deadline);
             let mut goals: Vec<WallMs> = goals.collect();
             goals.sort();
@@ -230,7 +236,7 @@
                     && lost.ms > ZONE_LATE_MS
                     && spec.zone.is_none();
             let usage = self.cache.usage(&spec.team);
-            let team = self.settings.teams.get(&spec.team);
+            let team = self.settings.policy.teams.get(&spec.team);
             let borrowed = team.is_none_or(|t| usage.cpus > t.cpus);
             turn.rank = turn.rank.min(std::cmp::Reverse(spec.rank));
             turn.borrowed &= borrowed;
--- a/crates/core/src/machines.rs
+++ b/crates/core/src/machines.rs
@@ -993,7 +993,7 @@
                     let keep = match m.phase {
                         MachinePhase::Draining => 0,
                         _ => {
-                            self.settings.idle_return_ms
+                            self.settings.idle_return_ms()
                                 + self.settings.node_index() * NODE_STAGGER_MS
                         }
                     };
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -1,9 +1,6 @@
 //! Words of the field: jobs, tasks, machines, types, reports, orders.
 
-use crate::checks::Checks;
-use crate::tuning::Tuning;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 
 /// Steady milliseconds since the process began.
 pub type Millis = u64;
@@ -137,67 +134,6 @@
     pub gpus_max: u64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Settings {
-    pub node: String,
-    /// Names of all nodes, this one included, in order.
-    pub nodes: Vec<String>,
-    pub zones: Vec<String>,
-    /// That of this node.
-    pub zone: String,
-    /// Those of all nodes, as far as they are known.
-    pub node_zones: BTreeMap<String, String>,
-    pub teams: BTreeMap<String, Team>,
-    /// Per class, milliseconds within which its jobs should be complete, shortest first.
-    pub goals: BTreeMap<String, Vec<u64>>,
-    /// Per class, milliseconds within which its tasks should start.
-    pub starts: BTreeMap<String, u64>,
-    pub report_ms: u64,
-    pub lease_ms: u64,
-    pub cancel_ms: u64,
-    /// The smaller of the state service's present limits and those announced, as is `txn_ops`.
-    pub value_bytes: u64,
-    pub txn_ops: usize,
-    /// Changes a second that this node may make to the state service, ...
-    pub write_rps: f64,
-    /// ... and once the announced limits are in force.
-    pub next_write_rps: f64,
-    pub clock_off_ms: u64,
-    pub idle_return_ms: u64,
-    /// How far the cloud's list may lag; at times it is twice that.
-    pub list_lag_ms: u64,
-    pub learned: LearnedUse,
-    /// All of them hold, except in stories that show what one is for.
-    pub checks: Checks,
-    /// What experiments vary.
-    pub tuning: Tuning,
-}
-
-/// Whether run times are learned, and what estimates are used for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LearnedUse {
-    /// Runs are observed and recorded.
-    pub learn: bool,
-    /// The order in which jobs are served: by the latest start with which they are done when due.
-    pub order: bool,
-    /// When jobs are due, and which goals and deadlines are out of reach.
-    pub due: bool,
-    /// Which tasks are stopped for others: not those about to end.
-    pub stops: bool,
-    /// Whether a task ends before its spot machine is taken.
-    pub notice: bool,
-}
-
-impl Settings {
-    /// Milliseconds after which a machine's next report is overdue.
-    pub fn report_due_ms(&self) -> Millis {
-        self.report_ms * 5 / 4
-    }
-    pub fn node_index(&self) -> u64 {
-        self.nodes.iter().position(|n| *n == self.node).unwrap_or(0) as u64
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TaskPhase {
     Fetching,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::AdmissionControl;
 use crate::allowance::Allowance;
+use crate::configuration::Configuration;
 use crate::constants::*;
 use crate::formats::{self, FormatRecord};
 use crate::hearing::Hearing;
@@ -13,6 +14,7 @@
 use crate::moves::Moves;
 use crate::records::*;
 use crate::results::Ended;
+use crate::settings::*;
 use crate::signs::Signs;
 use crate::standby::{Sibling, Standby};
 use crate::starts::Starts;
@@ -142,6 +144,8 @@
     pub reports: u32,
     /// Siblings whose last beats it has not missed.
     pub hears: Vec<String>,
+    /// The version of the configuration that it decides by; 0: that of the settings file.
+    pub configuration: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -304,6 +308,9 @@
     Cascade(Vec<String>),
     Format,
     Settle,
+    Configurable,
+    /// Says which configuration this node follows.
+    Following,
     Sweep,
     Types,
     Hosts,
@@ -348,6 +355,16 @@
     }
 }
 
+/// What a node still has to put on record after an upgrade, and whether it is on its way.
+#[derive(Debug, Default)]
+pub(crate) struct Upgrade {
+    pub format_busy: bool,
+    pub settle_busy: bool,
+    pub configurable_busy: bool,
+    /// The common format, and the nodes that lack the latest, as last logged.
+    pub format_logged: Option<(u32, usize)>,
+}
+
 pub struct Node {
     pub settings: Settings,
     pub(crate) rng: SmallRng,
@@ -381,7 +398,6 @@
     pub(crate) admission: AdmissionControl,
     /// Those of them that wait for the last tasks of a cancelled job to go.
     pub(crate) ending_asks: BTreeSet<RequestId>,
-    pub(crate) settle_busy: bool,
     /// Workers that were sent to look for another node while this one is cut off, and when.
     pub(crate) turned_away: HashMap<String, Millis>,
     /// Zones whose machines report to this node, and when one last did.
@@ -441,9 +457,8 @@
     /// Jobs that need a cancelled one, since when that is known here, by steady time.
     pub(crate) doomed_since: BTreeMap<String, Millis>,
     pub(crate) cascade_busy: bool,
-    pub(crate) format_busy: bool,
-    /// The common format, and the nodes that lack the latest, as last logged.
-    pub(crate) format_logged: Option<(u32, usize)>,
+    pub(crate) upgrade: Upgrade,
+    pub(crate) configuration: Configuration,
     /// Records logged as too large for a value.
     pub(crate) large_logged: BTreeSet<Key>,
     pub(crate) unbarred_at: Millis,
@@ -484,6 +499,7 @@
             false => vec![settings.node.clone()],
         };
         let standby = Standby::new(&settings, wall);
+        let configuration = Configuration::new(settings.policy.clone());
         Node {
             settings,
             rng: SmallRng::seed_from_u64(seed),
@@ -512,7 +528,6 @@
             asks: BTreeMap::new(),
             admission,
             ending_asks: BTreeSet::new(),
-            settle_busy: false,
             turned_away: HashMap::new(),
             reporting: BTreeMap::new(),
             types: HashMap::new(),
@@ -554,8 +569,8 @@
             finishing: BTreeSet::new(),
             doomed_since: BTreeMap::new(),
             cascade_busy: false,
-            format_busy: false,
-            format_logged: None,
+            upgrade: Upgrade::default(),
+            configuration,
             large_logged: BTreeSet::new(),
             unbarred_at: now,
             list_at: now + LIST_MS,
@@ -679,7 +694,7 @@
         let old: Vec<&str> = (self.settings.nodes.iter().filter(old))
             .map(String::as_str)
             .collect();
-        if self.format_logged != Some((format, old.len())) {
+        if self.upgrade.format_logged != Some((format, old.len())) {
             match old.is_empty() {
                 true => tracing::info!(format, "every node has the latest format"),
                 false => {
@@ -687,16 +702,16 @@
                     tracing::info!(format, waits_for, "rolling upgrade: old format in use");
                 }
             }
-            self.format_logged = Some((format, old.len()));
+            self.upgrade.format_logged = Some((format, old.len()));
         }
         let known = self.cache.format_of(&self.settings.node);
-        if known < formats::LATEST && !self.format_busy {
+        if known < formats::LATEST && !self.upgrade.format_busy {
             let mut draft = TransactionBuilder::new(&self.cache);
             let version = formats::LATEST;
             let key = Key::Format(self.settings.node.clone());
             draft.put(key, Record::Format(FormatRecord { version }));
             let txn = draft.finish();
-            self.format_busy = true;
+            self.upgrade.format_busy = true;
             self.commit(txn, Purpose::Format, Priority::User);
         }
     }
@@ -900,6 +915,7 @@
         }
         self.note_format();
         self.note_settled();
+        self.note_configuration();
         if self.now >= self.unbarred_at + BARRED_MS {
             self.unbarred_at = self.now;
             self.cache.unbar();
@@ -931,6 +947,7 @@
         self.retry_hires();
         self.tidy_hires();
         if self.on_duty() {
+            self.evict_over_limits();
             self.send_delete();
             if self.now >= self.list_at && !self.list_busy {
                 self.list_at = self.now + LIST_MS;
--- a/crates/core/src/placing.rs
+++ b/crates/core/src/placing.rs
@@ -22,6 +22,7 @@
             && self.state_ok()
             && self.workers_ok()
             && self.leaving.is_none()
+            && self.configuration.is_readable()
             && !self.types.is_empty()
     }
 
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -6,6 +6,7 @@
 use crate::lookup::Waiting;
 use crate::model::*;
 use crate::records::*;
+use crate::settings::*;
 use foldhash::HashMap;
 use std::collections::BTreeMap;
 
@@ -186,7 +187,7 @@
         });
     }
     for (name, cpus) in &mut borrowed {
-        let guarantee = settings.teams.get(*name).map_or(0, |t| t.cpus);
+        let guarantee = settings.policy.teams.get(*name).map_or(0, |t| t.cpus);
         *cpus = cpus.saturating_sub(guarantee);
     }
     let mut stops = Vec::new();
--- a/crates/core/src/records/cache.rs
+++ b/crates/core/src/records/cache.rs
@@ -5,6 +5,7 @@
     Booking, ChunkRecord, FleetRecord, HireRecord, JobRecord, Key, MachineRecord, Phase,
     PlaceRecord, Record, RunsRecord, SettledRecord, TeamRecord, TermRecord, TypesRecord,
 };
+use crate::configuration::{ConfigurableRecord, FollowingRecord, PageRecord, VersionRecord};
 use crate::constants::*;
 use crate::formats::{self, FormatRecord};
 use crate::model::*;
@@ -50,6 +51,10 @@
     formats: Table<String, FormatRecord>,
     settled: Table<(), SettledRecord>,
     runs: Table<u64, RunsRecord>,
+    configuration: Table<(), VersionRecord>,
+    configuration_pages: Table<(u64, u32), PageRecord>,
+    configurable: Table<(), ConfigurableRecord>,
+    following: Table<String, FollowingRecord>,
     /// Names of all nodes, as the settings have them.
     pub members: Vec<String>,
     /// Records that the state service refused to take as large as they would have become, and the
@@ -260,6 +265,10 @@
             Key::Format(node) => of(self.formats.get(node)),
             Key::Settled => of(self.settled.get(&())),
             Key::Runs(class) => of(self.runs.get(class)),
+            Key::Configuration => of(self.configuration.get(&())),
+            Key::ConfigurationPage(version, n) => of(self.configuration_pages.get(&(*version, *n))),
+            Key::Configurable => of(self.configurable.get(&())),
+            Key::Following(node) => of(self.following.get(node)),
         }
     }
     pub fn get(&self, key: &Key) -> Option<Record> {
@@ -276,6 +285,12 @@
             Key::Format(node) => Record::Format(self.formats.get(node)?.0.clone()),
             Key::Settled => Record::Settled(self.settled.get(&())?.0.clone()),
             Key::Runs(class) => Record::Runs(self.class_runs(class)?.clone()),
+            Key::Configuration => Record::Configuration(self.configuration()?.0.clone()),
+            Key::ConfigurationPage(version, n) => {
+                Record::ConfigurationPage(self.configuration_page(*version, *n)?.clone())
+            }
+            Key::Configurable => Record::Configurable(self.configurable.get(&())?.0.clone()),
+            Key::Following(node) => Record::Following(self.following.get(node)?.0.clone()),
         })
     }
     pub fn job_stamp(&self, id: &str) -> u64 {
@@ -325,6 +340,25 @@
         self.term.get(&()).map(|(t, _)| t.term)
     }
 
+    /// The version of the configuration on record, and its revision.
+    pub fn configuration(&self) -> Option<(&VersionRecord, u64)> {
+        self.configuration.get(&()).map(|(r, stamp)| (r, *stamp))
+    }
+    pub fn configuration_page(&self, version: u64, n: u32) -> Option<&PageRecord> {
+        self.configuration_pages.get(&(version, n)).map(|(r, _)| r)
+    }
+    /// Pages of all versions.
+    pub fn configuration_pages(&self) -> usize {
+        self.configuration_pages.len()
+    }
+    pub fn is_configurable(&self) -> bool {
+        !self.configurable.is_empty()
+    }
+    /// The version of the configuration that a node follows, as it has said on record.
+    pub fn followed_by(&self, node: &String) -> Option<u64> {
+        self.following.get(node).map(|(r, _)| r.version)
+    }
+
     /// Tasks booked on a machine.
     pub fn bookings(&self, machine: &str) -> impl Iterator<Item = (&TaskId, &Placed)> {
         self.held.get(machine).into_iter().flat_map(|h| &h.tasks)
@@ -547,6 +581,18 @@
             (Key::Runs(class), Record::Runs(r)) => {
                 keep(&mut self.runs, class, r, stamp);
             }
+            (Key::Configuration, Record::Configuration(r)) => {
+                keep(&mut self.configuration, (), r, stamp);
+            }
+            (Key::ConfigurationPage(version, n), Record::ConfigurationPage(r)) => {
+                keep(&mut self.configuration_pages, (version, n), r, stamp);
+            }
+            (Key::Configurable, Record::Configurable(r)) => {
+                keep(&mut self.configurable, (), r, stamp);
+            }
+            (Key::Following(node), Record::Following(r)) => {
+                keep(&mut self.following, node, r, stamp);
+            }
             _ => {}
         }
     }
@@ -588,6 +634,12 @@
             Key::Format(node) => drop_older(&mut self.formats, node, stamp),
             Key::Settled => drop_older(&mut self.settled, &(), stamp),
             Key::Runs(class) => drop_older(&mut self.runs, class, stamp),
+            Key::Configuration => drop_older(&mut self.configuration, &(), stamp),
+            Key::ConfigurationPage(version, n) => {
+                drop_older(&mut self.configuration_pages, &(*version, *n), stamp)
+            }
+            Key::Configurable => drop_older(&mut self.configurable, &(), stamp),
+            Key::Following(node) => drop_older(&mut self.following, node, stamp),
         }
     }
     fn keys(&self) -> Vec<Key> {
@@ -607,6 +659,10 @@
             .chain(self.formats.keys().cloned().map(Key::Format))
             .chain(self.settled.keys().map(|_| Key::Settled))
             .chain(self.runs.keys().copied().map(Key::Runs))
+            .chain(self.configuration.keys().map(|_| Key::Configuration))
+            .chain((self.configuration_pages.keys()).map(|(v, n)| Key::ConfigurationPage(*v, *n)))
+            .chain(self.configurable.keys().map(|_| Key::Configurable))
+            .chain(self.following.keys().cloned().map(Key::Following))
             .collect()
     }
     /// After a full reading that began at `epoch`: what it did not hold is gone, unless it
--- a/crates/core/src/records/key.rs
+++ b/crates/core/src/records/key.rs
@@ -22,6 +22,15 @@
     /// What is learned of a class's run times, by a hash of team and class. Versions before it came
     /// pass over keys of this kind, and nothing rests on them.
     Runs(u64),
+    /// The version of the configuration that is in force.
+    Configuration,
+    /// A page of a version of the configuration, by version and number.
+    ConfigurationPage(u64, u32),
+    /// Once on record, configurations may be. Versions before format 4 pass over it, as over all keys of
+    /// configurations.
+    Configurable,
+    /// The version of the configuration that a node follows.
+    Following(String),
 }
 
 pub(crate) fn escape(s: &str) -> String {
@@ -66,6 +75,10 @@
             Key::Format(node) => format!("g/format/{}", escape(node)),
             Key::Settled => "g/settled".into(),
             Key::Runs(class) => format!("g/runs/{class:016x}"),
+            Key::Configuration => "g/configuration".into(),
+            Key::ConfigurationPage(version, n) => format!("g/configuration/{version:010}/{n:03}"),
+            Key::Configurable => "g/configurable".into(),
+            Key::Following(node) => format!("g/following/{}", escape(node)),
         }
     }
 
@@ -87,6 +100,12 @@
             ("runs", Some(class), None) if class.len() == 16 => {
                 Key::Runs(u64::from_str_radix(class, 16).ok()?)
             }
+            ("configuration", None, None) => Key::Configuration,
+            ("configuration", Some(version), Some(n)) => {
+                Key::ConfigurationPage(version.parse().ok()?, n.parse().ok()?)
+            }
+            ("configurable", None, None) => Key::Configurable,
+            ("following", Some(node), None) => Key::Following(unescape(node)?),
             _ => return None,
         };
         Some(key)
--- a/crates/core/src/records/transaction.rs
+++ b/crates/core/src/records/transaction.rs
@@ -6,6 +6,8 @@
 use crate::constants::*;
 use crate::formats;
 use crate::model::*;
+use crate::settings::*;
+use serde_json::{json, Value};
 use std::collections::BTreeMap;
 
 /// A transaction: all conditions must hold, then all changes take effect as one.
@@ -18,6 +20,22 @@
     pub format: u32,
 }
 
+impl Txn {
+    /// As the state service takes it.
+    pub fn text(&self) -> String {
+        let conditions: Vec<Value> = (self.conditions.iter())
+            .map(|(key, stamp)| json!({"k": key.path(), "stamp": stamp}))
+            .collect();
+        let changes: Vec<Value> = (self.changes.iter())
+            .map(|(key, record)| match record {
+                Some(record) => json!({"put": key.path(), "v": record.value(self.format)}),
+                None => json!({"remove": key.path()}),
+            })
+            .collect();
+        json!({"if": conditions, "apply": changes}).to_string()
+    }
+}
+
 /// Builds a transaction over the cached records. Whatever is read through it becomes a
 /// condition, so that the outcome rests on nothing that has changed meanwhile.
 pub struct TransactionBuilder<'a> {
@@ -55,6 +73,10 @@
         let stamp = self.cache.stamp(&key);
         self.conditions.entry(key).or_insert(stamp);
     }
+    /// The transaction takes effect only if this key is at a revision that was read earlier.
+    pub fn rests_on_revision(&mut self, key: Key, stamp: u64) {
+        self.conditions.entry(key).or_insert(stamp);
+    }
     pub fn machine(&mut self, id: &str) -> Option<MachineRecord> {
         let key = Key::Machine(id.to_string());
         self.rests_on(key.clone());
--- a/crates/core/src/records/values.rs
+++ b/crates/core/src/records/values.rs
@@ -1,6 +1,7 @@
 //! What the shared records hold, and how each is stored.
 
 use super::Key;
+use crate::configuration::{ConfigurableRecord, FollowingRecord, PageRecord, VersionRecord};
 use crate::constants::*;
 use crate::formats::{self, CompactChunk, FormatRecord};
 use crate::model::*;
@@ -234,10 +235,31 @@
 /// use is counted from the bookings.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TeamRecord {
+    #[serde(alias = "c")]
     pub cpus: u64,
+    #[serde(alias = "g")]
     pub gpus: u64,
 }
 
+/// The same from format 4 on. Versions that know limits from the settings file only can't read it: they
+/// keep to their older copy, and their claims for that team conflict for ever.
+#[derive(Serialize)]
+struct FencedTeam {
+    #[serde(rename = "c")]
+    cpus: u64,
+    #[serde(rename = "g")]
+    gpus: u64,
+}
+
+impl FencedTeam {
+    fn of(team: &TeamRecord) -> FencedTeam {
+        FencedTeam {
+            cpus: team.cpus,
+            gpus: team.gpus,
+        }
+    }
+}
+
 /// A rental request under way: committed before its name is used.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct HireRecord {
@@ -323,6 +345,10 @@
     Format(FormatRecord),
     Settled(SettledRecord),
     Runs(RunsRecord),
+    Configuration(VersionRecord),
+    ConfigurationPage(PageRecord),
+    Configurable(ConfigurableRecord),
+    Following(FollowingRecord),
 }
 
 /// Reads a record by its key's kind.
@@ -345,6 +371,10 @@
             Key::Format(_) => $read.ok().map(Record::Format),
             Key::Settled => $read.ok().map(Record::Settled),
             Key::Runs(_) => $read.ok().map(Record::Runs),
+            Key::Configuration => $read.ok().map(Record::Configuration),
+            Key::ConfigurationPage(..) => $read.ok().map(Record::ConfigurationPage),
+            Key::Configurable => $read.ok().map(Record::Configurable),
+            Key::Following(_) => $read.ok().map(Record::Following),
         }
     };
 }
@@ -361,11 +391,16 @@
             Record::Chunk(r) => serde_json::to_value(CompactChunk::of(r)),
             Record::Place(r) => serde_json::to_value(r),
             Record::Machine(r) => serde_json::to_value(r),
-            Record::Team(r) => serde_json::to_value(r),
+            Record::Team(r) if format < formats::CONFIGURABLE => serde_json::to_value(r),
+            Record::Team(r) => serde_json::to_value(FencedTeam::of(r)),
             Record::Hire(r) => serde_json::to_value(r),
             Record::Format(r) => serde_json::to_value(r),
             Record::Settled(r) => serde_json::to_value(r),
             Record::Runs(r) => serde_json::to_value(r),
+            Record::Configuration(r) => serde_json::to_value(r),
+            Record::ConfigurationPage(r) => serde_json::to_value(r),
+            Record::Configurable(r) => serde_json::to_value(r),
+            Record::Following(r) => serde_json::to_value(r),
         };
         value.unwrap_or(Value::Null)
     }
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -10,6 +10,7 @@
 use crate::constants::*;
 use crate::model::*;
 use crate::node::{Heard, Heartbeat, Said};
+use crate::settings::*;
 use crate::tuning::Tuning;
 use foldhash::{HashMap, HashMapExt};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -100,6 +100,7 @@
         self.cache.epoch = self.reading.epoch;
         self.runs_loaded();
         self.loaded = true;
+        self.follow_configuration();
         self.changed = true;
         self.lookup_wanted = true;
         tracing::info!(
@@ -129,6 +130,7 @@
             self.epochs.pop_front();
         }
         self.changed = true;
+        self.follow_configuration();
         self.caught_up();
     }
 
@@ -372,8 +374,10 @@
                     tracing::info!(job = id, "cancelled with a job that it needs");
                 }
             }
-            Purpose::Format => self.format_busy = false,
-            Purpose::Settle => self.settle_busy = false,
+            Purpose::Format => self.upgrade.format_busy = false,
+            Purpose::Settle => self.upgrade.settle_busy = false,
+            Purpose::Configurable => self.upgrade.configurable_busy = false,
+            Purpose::Following => self.configuration.told(),
             Purpose::Sweep => self.sweep_busy = false,
             Purpose::Term => self.term_busy = false,
             Purpose::Hire(_) | Purpose::Delete(_) | Purpose::Types | Purpose::Hosts => {}
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -116,6 +116,7 @@
             term: self.known_term(),
             under_way: self.pending.len() as u32,
             reports: self.load() as u32,
+            configuration: self.settings.policy.version,
             ..said
         };
         // Versions before format 2 refuse a beat with an element more.
--- a/crates/core/tests/checks.rs
+++ b/crates/core/tests/checks.rs
@@ -573,3 +573,65 @@
     });
     assert!(cost.is_ok_and(|ms| ms > 9_000));
 }
+
+/// The limit falls while a claim is on its way: without the condition it takes effect all the same.
+#[test]
+fn without_the_condition_a_claim_goes_by_an_older_limit() {
+    let cost = needs("configured", 0, |checks| {
+        for seed in 0..12 {
+            let mut w = world(checks, 980 + seed, 3, 8);
+            w.capacity = 0;
+            w.run(6_000);
+            w.run_ms = 3_600_000;
+            for round in 0..6 {
+                w.submit(round % 3, blue(job(&format!("j-{round}"), 3)));
+                w.run(2 + seed);
+                let settings = w.with_limit("blue", [2.0, 12.0][round % 2]);
+                w.configure(&settings).unwrap();
+                w.run(300);
+            }
+        }
+        0
+    });
+    broke(cost, "quota");
+}
+
+/// A node that goes on by its settings file refuses a new team's jobs for good.
+#[test]
+fn without_following_a_new_team_is_unknown() {
+    let cost = needs("configuration", 0, |checks| {
+        let mut w = world(checks, 990, 3, 6);
+        w.run(6_000);
+        let mut settings = w.policy_settings();
+        let mut green = settings.teams[0].clone();
+        green.name = "green".into();
+        settings.teams.push(green);
+        w.configure(&settings).unwrap();
+        w.run(2_000);
+        let spec = JobSpec {
+            team: "green".into(),
+            ..job("j-1", 1)
+        };
+        let r = w.submit(0, spec);
+        u64::from(matches!(w.answer(r), UserReply::Never(_)))
+    });
+    assert_eq!(cost, Ok(1));
+}
+
+/// What ran above a limit that was lowered goes on for as long as it takes.
+#[test]
+fn without_evictions_a_lowered_limit_is_exceeded_for_good() {
+    let cost = needs("eviction", 1, |checks| {
+        let mut w = world(checks, 995, 3, 8);
+        w.capacity = 0;
+        w.run(6_000);
+        w.run_ms = 3_600_000;
+        w.submit(0, blue(job("j-1", 6)));
+        w.until(10_000, "full", |w| w.running("j-1") == 6);
+        let settings = w.with_limit("blue", 2.0);
+        w.configure(&settings).unwrap();
+        w.run(20_000);
+        w.running("j-1") as u64
+    });
+    assert_eq!(cost, Ok(6));
+}
--- a/crates/core/tests/lost_zones.rs
+++ b/crates/core/tests/lost_zones.rs
@@ -70,7 +70,7 @@
 #[test]
 fn batches_move_when_waiting_would_miss_their_goal_and_services_stay() {
     let mut w = fleet(10, 40, &["east", "west"]);
-    w.settings.goals.clear();
+    w.settings.policy.goals.clear();
     let scattered = JobSpec {
         scatter: true,
         ..service("j-1", 12)
--- a/crates/core/tests/stories.rs
+++ b/crates/core/tests/stories.rs
@@ -1006,9 +1006,9 @@
     let mut w = kept(67, 3, 4);
     w.capacity = 0;
     w.run_ms = 40_000;
-    w.settings.teams.get_mut("red").unwrap().cpus = 0;
+    w.settings.policy.teams.get_mut("red").unwrap().cpus = 0;
     for slot in &mut w.nodes {
-        slot.node.as_mut().unwrap().settings.teams = w.settings.teams.clone();
+        slot.node.as_mut().unwrap().settings.policy.teams = w.settings.policy.teams.clone();
     }
     w.submit(0, job("j-1", 8));
     w.until(8_000, "all machines are full", |w| w.running("j-1") == 8);
--- /dev/null
+++ b/crates/ctl/src/config/records.rs
@@ -0,0 +1,173 @@
+//! What the state service holds that concerns configurations.
+
+use super::{ConfigFailure, Followers};
+use crate::state::{Committed, StateService, Stored};
+use glenmount_core::configuration::{
+    self, PageRecord, PolicySettings, VersionRecord, CONFIGURATION_FORM,
+};
+use glenmount_core::formats;
+use glenmount_core::model::JobSpec;
+use glenmount_core::records::{Cache, Key, Record, Txn};
+use std::collections::BTreeMap;
+
+/// Records read at most: many times what a site of two years has.
+const MOST_RECORDS: usize = 20_000_000;
+/// Changes of one transaction that removes pages nobody can go back to.
+const REMOVED_AT_ONCE: usize = 3;
+
+/// The configuration on record.
+#[derive(Debug, Clone)]
+pub struct Current {
+    pub record: VersionRecord,
+    /// Its revision.
+    pub stamp: u64,
+    pub settings: PolicySettings,
+}
+
+/// The state service's records, read when they are asked for.
+pub struct Records {
+    service: StateService,
+}
+
+impl Records {
+    pub fn new(address: &str) -> Records {
+        Records {
+            service: StateService::new(address),
+        }
+    }
+
+    pub(super) fn commit(&self, txn: &Txn) -> Result<Committed, ConfigFailure> {
+        Ok(self.service.commit(txn)?)
+    }
+
+    /// The configuration on record, if there is one; one that can't be read is an error.
+    pub fn current(&self) -> Result<Option<Current>, ConfigFailure> {
+        let Some(stored) = self.service.value(&Key::Configuration)? else {
+            return Ok(None);
+        };
+        let stamp = stored.stamp;
+        let Some((_, Record::Configuration(record))) = stored.record() else {
+            let why = "the configuration on record can't be read";
+            return Err(ConfigFailure::Failed(why.into()));
+        };
+        if record.form > CONFIGURATION_FORM {
+            let why = format!("form: {} is later than this program reads", record.form);
+            return Err(ConfigFailure::Failed(why));
+        }
+        let settings = self.pages(record.version, record.pages)?.ok_or_else(|| {
+            ConfigFailure::Failed("pages of the configuration on record are missing".into())
+        })?;
+        Ok(Some(Current {
+            record,
+            stamp,
+            settings,
+        }))
+    }
+
+    /// The settings of a version that is in force or kept.
+    pub fn version(
+        &self,
+        record: &VersionRecord,
+        version: u64,
+    ) -> Result<Option<PolicySettings>, ConfigFailure> {
+        let kept = record.kept.iter().find(|kept| kept.version == version);
+        let pages = match kept {
+            Some(kept) => kept.pages,
+            None if record.version == version => record.pages,
+            None => return Ok(None),
+        };
+        self.pages(version, pages)
+    }
+
+    fn pages(&self, version: u64, count: u32) -> Result<Option<PolicySettings>, ConfigFailure> {
+        let mut pages: Vec<PageRecord> = Vec::new();
+        for n in 0..count {
+            let stored = self.service.value(&Key::ConfigurationPage(version, n))?;
+            match stored.and_then(Stored::record) {
+                Some((_, Record::ConfigurationPage(page))) => pages.push(page),
+                _ => return Ok(None),
+            }
+        }
+        Ok(Some(configuration::settings_of(&pages)))
+    }
+
+    /// The revision of the record that says that every node reads configurations.
+    pub(super) fn configurable(&self) -> Result<Option<u64>, ConfigFailure> {
+        let stored = self.service.value(&Key::Configurable)?;
+        Ok(stored.map(|stored| stored.stamp))
+    }
+
+    /// Jobs that were accepted and are not over.
+    pub fn open_jobs(&self) -> Result<Vec<JobSpec>, ConfigFailure> {
+        let stored = self.service.list("g/job/", MOST_RECORDS)?;
+        let open = stored
+            .into_iter()
+            .filter_map(|stored| match stored.record()? {
+                (_, Record::Job(job)) => job.open().cloned(),
+                _ => None,
+            });
+        Ok(open.collect())
+    }
+
+    /// Jobs and what is booked of them, as a node's copy would have them.
+    pub(super) fn bookings(&self) -> Result<Cache, ConfigFailure> {
+        let mut cache = Cache::default();
+        for under in ["g/job/", "g/chunk/"] {
+            for stored in self.service.list(under, MOST_RECORDS)? {
+                let stamp = stored.stamp;
+                if let Some((key, record)) = stored.record() {
+                    cache.put(key, stamp, record);
+                }
+            }
+        }
+        Ok(cache)
+    }
+
+    /// Which controllers follow a version or a later one.
+    pub fn followers(&self, version: u64) -> Result<Followers, ConfigFailure> {
+        let mut versions: BTreeMap<String, u64> = BTreeMap::new();
+        for stored in self.service.list("g/format/", MOST_RECORDS)? {
+            if let Some(Key::Format(node)) = Key::parse(&stored.key) {
+                versions.insert(node, 0);
+            }
+        }
+        for stored in self.service.list("g/following/", MOST_RECORDS)? {
+            if let Some((Key::Following(node), Record::Following(record))) = stored.record() {
+                versions.insert(node, record.version);
+            }
+        }
+        let (follow, others): (Vec<_>, Vec<_>) =
+            versions.into_iter().partition(|(_, has)| *has >= version);
+        let names = |nodes: Vec<(String, u64)>| nodes.into_iter().map(|(node, _)| node).collect();
+        Ok(Followers {
+            follow: names(follow),
+            others: names(others),
+        })
+    }
+
+    /// Removes pages that nobody can go back to. What is left of them is found the next time.
+    pub(super) fn remove_outdated(&self) {
+        let Ok(Some(current)) = self.current() else {
+            return;
+        };
+        let stored = self.service.list("g/configuration/", MOST_RECORDS);
+        let pages = stored.into_iter().flatten().filter_map(|stored| {
+            let Some(Key::ConfigurationPage(version, n)) = Key::parse(&stored.key) else {
+                return None;
+            };
+            Some((version, n))
+        });
+        let pages: Vec<(u64, u32)> = pages.collect();
+        let outdated = configuration::outdated_pages(&current.record, pages.iter());
+        for keys in outdated.chunks(REMOVED_AT_ONCE) {
+            let txn = Txn {
+                conditions: vec![(Key::Configuration, current.stamp)],
+                changes: keys.iter().map(|key| (key.clone(), None)).collect(),
+                format: formats::CONFIGURABLE,
+            };
+            if !matches!(self.service.commit(&txn), Ok(Committed::Yes)) {
+                return;
+            }
+        }
+    }
+}
--- a/crates/ctl/src/learned.rs
+++ b/crates/ctl/src/learned.rs
@@ -1,95 +1,31 @@
 //! What the state service holds of run times.
 
 use crate::run::Row;
+use crate::state::StateService;
 use crate::Failure;
-use glenmount_core::records::{Key, Record, RunsRecord};
+use glenmount_core::records::{Record, RunsRecord};
 use glenmount_runtimes::history::History;
 use glenmount_runtimes::mixture::Mixture;
-use serde::{Deserialize, Serialize};
-use std::io::Read;
-use std::time::Duration;
+use serde::Serialize;
 
-/// Records per page; the state service holds a page under 512 KiB.
-const PAGE: usize = 200;
-/// Bytes of a page at most.
-const PAGE_BYTES: u64 = 4 << 20;
 /// Records read at most: many times what nodes keep.
 const MOST_RECORDS: usize = 100_000;
-/// Time for a page.
-const TIMEOUT: Duration = Duration::from_secs(10);
-/// Tries of a page that the service refuses, and the pause between them.
-const TRIES: u32 = 5;
-const PAUSE: Duration = Duration::from_millis(400);
-
-#[derive(Deserialize)]
-struct Page {
-    items: Vec<Item>,
-    #[serde(default)]
-    more: bool,
-}
-
-#[derive(Deserialize)]
-struct Item {
-    k: String,
-    v: serde_json::Value,
-}
-
-/// One page from an address like `10.2.0.1:2379`.
-fn page(address: &str, since: Option<&str>) -> Result<Page, Failure> {
-    let since = since.map_or(String::new(), |s| format!("&since={s}"));
-    let url = format!("http://{address}/keys?under=g/runs/{since}&most={PAGE}");
-    let mut last = String::new();
-    for n in 0..TRIES {
-        if n > 0 {
-            std::thread::sleep(PAUSE);
-        }
-        match ureq::get(&url).timeout(TIMEOUT).call() {
-            Ok(answer) => {
-                let mut text = String::new();
-                let body = answer
-                    .into_reader()
-                    .take(PAGE_BYTES)
-                    .read_to_string(&mut text);
-                body.map_err(|e| format!("{address}: the answer broke off: {e}"))?;
-                return serde_json::from_str(&text)
-                    .map_err(|e| format!("{address}: not the state service's answer: {e}"));
-            }
-            Err(ureq::Error::Status(status @ (429 | 503), _)) => {
-                last = format!("{address}: answers {status}; try again later");
-            }
-            Err(ureq::Error::Status(status, _)) => {
-                return Err(format!(
-                    "{address}: answers {status}: is it the state service?"
-                ));
-            }
-            Err(e) => last = format!("{address}: not reached: {e}"),
-        }
-    }
-    Err(last)
-}
 
 /// All records, and how many were damaged.
 pub fn read(address: &str) -> Result<(Vec<(RunsRecord, History)>, usize), Failure> {
-    let (mut found, mut damaged, mut since) = (Vec::new(), 0, None);
-    loop {
-        let page = page(address, since.as_deref())?;
-        let last = page.items.last().map(|i| i.k.clone());
-        for item in page.items {
-            let record = Key::parse(&item.k).and_then(|key| Record::read(&key, item.v));
-            let history = |r: &RunsRecord| History::unpack(&r.packed);
-            match record {
-                Some(Record::Runs(r)) => match history(&r) {
-                    Some(h) => found.push((r, h)),
-                    None => damaged += 1,
-                },
-                _ => damaged += 1,
-            }
-        }
-        if !page.more || last.is_none() || found.len() >= MOST_RECORDS {
-            return Ok((found, damaged));
+    let stored = StateService::new(address).list("g/runs/", MOST_RECORDS)?;
+    let (mut found, mut damaged) = (Vec::new(), 0);
+    for item in stored {
+        let history = |r: &RunsRecord| History::unpack(&r.packed);
+        match item.record() {
+            Some((_, Record::Runs(r))) => match history(&r) {
+                Some(h) => found.push((r, h)),
+                None => damaged += 1,
+            },
+            _ => damaged += 1,
         }
-        since = last;
     }
+    Ok((found, damaged))
 }
 
 /// What is learned of a class, for a job whose owner says what owners said on the whole.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -11,6 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+mod config_command;
+
 /// glenmount's command for operators
 #[derive(Parser)]
 #[command(version, about)]
@@ -27,6 +29,8 @@
     /// Estimates of run times
     #[command(subcommand)]
     Estimates(EstimatesCommand),
+    /// Teams, objectives and other settings that change while controllers run
+    Config(config_command::ConfigArguments),
 }
 
 #[derive(Subcommand)]
@@ -244,6 +248,7 @@
     // What a library asserts of a damaged file becomes an error of one sentence.
     std::panic::set_hook(Box::new(|_| ()));
     let done = match Cli::parse().what {
+        What::Config(arguments) => return config_command::run(&arguments),
         What::History(HistoryCommand::Export(what)) => history_export(what),
         What::History(HistoryCommand::Schema { json }) => schema(json),
         What::Estimates(EstimatesCommand::Replay { file, from, json }) => replay(&file, from, json),
--- a/crates/glenmount/src/peer.rs
+++ b/crates/glenmount/src/peer.rs
@@ -123,6 +123,8 @@
                     late_ms: next!(),
                     reports: next!(),
                     hears: next!(),
+                    // Versions before format 4 do not say it.
+                    configuration: seq.next_element()?.unwrap_or(0),
                 };
                 while seq.next_element::<IgnoredAny>()?.is_some() {}
                 Ok(Heeded(Some(said)))
@@ -272,7 +274,7 @@
         };
         let frame = rmp_serde::to_vec(&said).unwrap();
         assert_eq!((frame[0], read(&frame)), (0x98, Some(said.clone())));
-        let at = frame.iter().rposition(|b| *b == 0x98).unwrap();
+        let at = frame.iter().rposition(|b| *b == 0x99).unwrap();
         let mut longer = frame.clone();
         longer[at] += 1;
         longer.push(0xc0);
--- a/crates/glenmount/src/settings.rs
+++ b/crates/glenmount/src/settings.rs
@@ -1,11 +1,11 @@
 //! The platform's settings file (TOML) and the operators' own (XML), checked on reading.
 
 use glenmount_core::checks::Checks;
+use glenmount_core::configuration::{ObjectiveSettings, PolicySettings, TeamSettings};
 use glenmount_core::constants::*;
-use glenmount_core::model::{have_milli, LearnedUse, Settings, Team};
+use glenmount_core::settings::{LearnedUse, Settings};
 use glenmount_core::tuning::Tuning;
 use serde::Deserialize;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 #[derive(Debug, Deserialize)]
@@ -39,36 +39,15 @@
     count: u32,
     zones: Vec<String>,
     clock_off_ms: f64,
-    teams: Vec<TeamFile>,
+    teams: Vec<TeamSettings>,
     #[serde(default)]
-    objectives: Vec<ObjectiveFile>,
+    objectives: Vec<ObjectiveSettings>,
     workers: Workers,
     state: StateLimits,
     cloud: CloudLimits,
     quota: Quota,
 }
 
-#[derive(Debug, Deserialize)]
-struct TeamFile {
-    name: String,
-    #[serde(default)]
-    cpus: f64,
-    #[serde(default)]
-    cpus_max: f64,
-    #[serde(default)]
-    gpus: f64,
-    #[serde(default)]
-    gpus_max: f64,
-}
-
-/// An aim of the users'. Kinds that the scheduler has no use for are ignored.
-#[derive(Debug, Deserialize)]
-struct ObjectiveFile {
-    kind: String,
-    class: Option<String>,
-    within_s: Option<f64>,
-}
-
 #[derive(Debug, Deserialize)]
 struct Workers {
     report_s: f64,
@@ -250,15 +229,6 @@
     Ok((value * 1000.0).round() as u64)
 }
 
-fn amount(field: &str, value: f64) -> Result<u64, String> {
-    check(
-        value.is_finite() && (0.0..=1e9).contains(&value),
-        field,
-        &format!("must be between 0 and 1e9, not {value}"),
-    )?;
-    Ok(have_milli(value))
-}
-
 fn rate(field: &str, value: f64) -> Result<f64, String> {
     check(
         value.is_finite() && (0.1..=1e6).contains(&value),
@@ -296,44 +266,12 @@
         "siblings",
         "must name settings.count - 1 different nodes",
     )?;
-    let mut teams = BTreeMap::new();
-    for t in &p.teams {
-        let field = |f: &str| format!("settings.teams.{}.{f}", t.name);
-        check(
-            !t.name.is_empty(),
-            "settings.teams.name",
-            "must not be empty",
-        )?;
-        let team = Team {
-            name: t.name.clone(),
-            cpus: amount(&field("cpus"), t.cpus)?,
-            cpus_max: amount(&field("cpus_max"), t.cpus_max)?,
-            gpus: amount(&field("gpus"), t.gpus)?,
-            gpus_max: amount(&field("gpus_max"), t.gpus_max)?,
-        };
-        check(
-            teams.insert(t.name.clone(), team).is_none(),
-            "settings.teams.name",
-            &format!("{} appears twice", t.name),
-        )?;
-    }
-    let mut goals: BTreeMap<String, Vec<u64>> = BTreeMap::new();
-    let mut starts: BTreeMap<String, u64> = BTreeMap::new();
-    for o in &p.objectives {
-        let (Some(class), Some(within_s)) = (&o.class, o.within_s) else {
-            continue;
-        };
-        let within = || seconds("settings.objectives.within_s", within_s, 0.0);
-        match o.kind.as_str() {
-            "finished" => goals.entry(class.clone()).or_default().push(within()?),
-            "wait" => {
-                let start = starts.entry(class.clone()).or_insert(u64::MAX);
-                *start = within()?.min(*start);
-            }
-            _ => {}
-        }
-    }
-    goals.values_mut().for_each(|g| g.sort());
+    let policy = PolicySettings {
+        idle_return_s: None,
+        teams: p.teams.clone(),
+        objectives: p.objectives.clone(),
+    };
+    let policy = policy.policy()?;
     let report_ms = seconds("settings.workers.report_s", p.workers.report_s, 0.1)?;
     let lease_ms = seconds("settings.workers.lease_s", p.workers.lease_s, 1.0)?;
     let cancel_ms = seconds("settings.workers.cancel_s", p.workers.cancel_s, 1.0)?;
@@ -401,9 +339,7 @@
             zones: p.zones.clone(),
             zone: file.location.unwrap_or_default(),
             node_zones,
-            teams,
-            goals,
-            starts,
+            policy,
             report_ms,
             lease_ms,
             cancel_ms,
@@ -481,7 +417,7 @@
     fn reads_settings_and_ignores_unknown_fields() {
         let c = config(SAMPLE, &Operator::default()).unwrap();
         assert_eq!(c.core.nodes, ["a-0", "a-1"]);
-        assert_eq!(c.core.teams["t"].cpus_max, 4000);
+        assert_eq!(c.core.policy.teams["t"].cpus_max, 4000);
         assert_eq!(c.state_rps, 50.0);
     }
 
--- a/crates/glenmount/src/state.rs
+++ b/crates/glenmount/src/state.rs
@@ -6,11 +6,10 @@
 use crate::http::Http;
 use glenmount_core::constants::*;
 use glenmount_core::node::{Event, Priority, StateAnswer, StateOp, Token};
-use glenmount_core::records::{Key, Record, Txn, PREFIX};
+use glenmount_core::records::{Key, Record, PREFIX};
 use hyper::Method;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use serde_json::{json, Value};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -56,23 +55,6 @@
     TooMany(Job),
 }
 
-fn txn_body(txn: &Txn) -> String {
-    let conditions: Vec<Value> = txn
-        .conditions
-        .iter()
-        .map(|(k, stamp)| json!({"k": k.path(), "stamp": stamp}))
-        .collect();
-    let changes: Vec<Value> = txn
-        .changes
-        .iter()
-        .map(|(k, record)| match record {
-            Some(r) => json!({"put": k.path(), "v": r.value(txn.format)}),
-            None => json!({"remove": k.path()}),
-        })
-        .collect();
-    json!({"if": conditions, "apply": changes}).to_string()
-}
-
 #[derive(Deserialize)]
 struct EpochBody {
     epoch: u64,
@@ -108,7 +90,7 @@
             http.call(
                 Method::POST,
                 "/txn",
-                Some(txn_body(txn)),
+                Some(txn.text()),
                 TIMEOUT,
                 ANSWER_BYTES,
             )
--- a/crates/world/src/day.rs
+++ b/crates/world/src/day.rs
@@ -231,6 +231,9 @@
         "mute" => &mut checks.mute,
         "strangers" => &mut checks.strangers,
         "begins" => &mut checks.begins,
+        "configuration" => &mut checks.configuration,
+        "configured" => &mut checks.configured,
+        "eviction" => &mut checks.eviction,
         other => return Err(format!("without: there is no check {other:?}")),
     };
     *check = false;
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod day;
 pub mod measure;
 pub mod old;
+pub mod operator;
 pub mod play;
 mod rules;
 pub mod service;
@@ -12,11 +13,13 @@
 pub mod users;
 
 use glenmount_core::checks::Checks;
+use glenmount_core::configuration::Policy;
 use glenmount_core::constants::UNANSWERED_LEAST_MS;
 use glenmount_core::formats::OLDEST;
 use glenmount_core::model::*;
 use glenmount_core::node::*;
 use glenmount_core::records::*;
+use glenmount_core::settings::*;
 use glenmount_core::tuning::Tuning;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -76,6 +79,8 @@
     /// What the node sends does not get through, to workers and siblings; what it gets does.
     pub mute: bool,
     watching: Option<u64>,
+    /// Until when its watch tells nothing.
+    watch_lags_until: u64,
     /// Until when it stands still, and what comes in meanwhile.
     frozen_until: u64,
     backlog: Vec<Event>,
@@ -282,6 +287,8 @@
     pub cancelled_at_end: f64,
     /// Copies of reports for the next node that begins.
     kept_reports: Vec<Report>,
+    /// What operators have put on record.
+    pub configured: operator::Configured,
 }
 
 /// Run times learned, and used for all that they can be.
@@ -315,9 +322,11 @@
         zones: vec!["east".into(), "west".into()],
         zone: "east".into(),
         node_zones: BTreeMap::new(),
-        teams,
-        goals: BTreeMap::from([("quick".to_string(), vec![60_000])]),
-        starts: BTreeMap::new(),
+        policy: Policy {
+            teams,
+            goals: BTreeMap::from([("quick".to_string(), vec![60_000])]),
+            ..Policy::default()
+        },
         report_ms: 1_500,
         lease_ms: 10_000,
         cancel_ms: 35_000,
@@ -548,6 +557,7 @@
             close_looks: false,
             cancelled_at_end: 0.0,
             kept_reports: Vec::new(),
+            configured: operator::Configured::default(),
         };
         for i in 0..nodes {
             w.nodes.push(NodeSlot {
@@ -560,6 +570,7 @@
                 cut_from_peers: false,
                 mute: false,
                 watching: None,
+                watch_lags_until: 0,
                 frozen_until: 0,
                 backlog: Vec::new(),
                 sent: 0,
@@ -985,9 +996,7 @@
     fn goes_on(&mut self, machine: &str, task: &TaskId) {
         let spec = &self.specs[&task.job];
         self.rules.goes_on(machine, task, spec);
-        let max = self.settings.teams[&spec.team].cpus_max;
-        let used = self.rules.used(&spec.team);
-        assert!(max == 0 || used <= max, "quota: {} uses {used}", spec.team);
+        self.check_quota(&spec.team, self.rules.used(&spec.team));
         if self.rules.cancelled(&task.job) {
             self.check_rules();
         }
@@ -1054,7 +1063,7 @@
 
     fn booked_cpus(&self) -> BTreeMap<String, u64> {
         let mut used: BTreeMap<String, u64> = BTreeMap::new();
-        for team in self.settings.teams.keys() {
+        for team in self.settings.policy.teams.keys() {
             used.insert(team.clone(), 0);
         }
         for (record, _) in self.store.values() {
@@ -1372,6 +1381,7 @@
                     self.conflicts += 1;
                     return StateAnswer::Conflict { epoch: self.epoch };
                 }
+                self.check_claims(&txn);
                 self.epoch += 1;
                 let epoch = self.epoch;
                 for (key, record) in txn.changes {
@@ -1503,7 +1513,9 @@
                 let Some(since) = slot.watching.filter(|_| slot.life == life) else {
                     return;
                 };
-                if slot.cut_from_state || slot.refused || self.state_down || self.inside(n) {
+                let lags = self.now < slot.watch_lags_until;
+                if slot.cut_from_state || slot.refused || self.state_down || self.inside(n) || lags
+                {
                     self.at(200, Act::Watch(n, life));
                     return;
                 }
--- a/crates/world/src/old.rs
+++ b/crates/world/src/old.rs
@@ -205,7 +205,13 @@
         Key::Team(_) => through::<Team>(value),
         Key::Hire(_) => through::<Hire>(value),
         // A kind of key that it does not know is none of its records.
-        Key::Format(_) | Key::Settled | Key::Runs(_) => None,
+        Key::Format(_)
+        | Key::Settled
+        | Key::Runs(_)
+        | Key::Configuration
+        | Key::ConfigurationPage(..)
+        | Key::Configurable
+        | Key::Following(_) => None,
     }
 }
 
--- /dev/null
+++ b/crates/world/src/operator.rs
@@ -0,0 +1,215 @@
+//! Operators: they put configurations on record while the nodes run, by the transaction that
+//! `glenmountctl config` sends. The rule `quota` follows the limits in force.
+//!
+//! From a change's commit on no claim may exceed a lowered limit. What was claimed before counts as in use
+//! until it is proven gone, and may still start.
+
+use crate::World;
+use glenmount_core::configuration::{
+    self, ChangeLimits, ConfigurationError, Policy, PolicySettings, TeamSettings,
+};
+use glenmount_core::model::JobSpec;
+use glenmount_core::node::{Event, StateAnswer, StateOp};
+use glenmount_core::records::*;
+use std::collections::BTreeMap;
+
+/// What operators have done.
+#[derive(Default)]
+pub struct Configured {
+    /// The configuration in force, once one is on record.
+    policy: Option<Policy>,
+    /// Thousandths of processors that teams had claimed when their limit was lowered below that.
+    claimed_before: BTreeMap<String, u64>,
+}
+
+/// Why a change did not come into force.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refused {
+    Absurd(ConfigurationError),
+    /// Not every node reads configurations yet.
+    NotConfigurable,
+    /// Another operator was first.
+    Conflict,
+    Unavailable,
+}
+
+impl World {
+    /// The limit of a team's processors that is in force; none for a team that there is not.
+    pub fn limit(&self, team: &str) -> Option<u64> {
+        let policy = self.configured.policy.as_ref();
+        let policy = policy.unwrap_or(&self.settings.policy);
+        policy.teams.get(team).map(|team| team.cpus_max)
+    }
+
+    /// A task went on a machine: its team is within its limit, or within what it had claimed before that
+    /// was lowered.
+    pub(crate) fn check_quota(&self, team: &str, used: u64) {
+        let limit = self.limit(team).unwrap_or(0);
+        let claimed = self.configured.claimed_before.get(team).copied();
+        let most = claimed.unwrap_or(0).max(limit);
+        assert!(limit == 0 || used <= most, "quota: {team} uses {used}");
+    }
+
+    /// A transaction is about to take effect: if it claims for a team, that is within the limit in force.
+    pub(crate) fn check_claims(&mut self, txn: &Txn) {
+        if self.configured.policy.is_none() {
+            return;
+        }
+        self.forget_what_is_gone();
+        let mut more: BTreeMap<String, i64> = BTreeMap::new();
+        for (key, record) in &txn.changes {
+            let cpus = |chunk: &ChunkRecord| chunk.booked().count() as i64 * chunk.need.cpus as i64;
+            if let Some((Record::Chunk(old), _)) = self.store.get(key) {
+                *more.entry(old.team.clone()).or_default() -= cpus(old);
+            }
+            if let Some(Record::Chunk(new)) = record {
+                *more.entry(new.team.clone()).or_default() += cpus(new);
+            }
+        }
+        more.retain(|_, cpus| *cpus > 0);
+        if more.is_empty() {
+            return;
+        }
+        let booked = self.booked_cpus();
+        for (team, cpus) in more {
+            let after = booked.get(&team).copied().unwrap_or(0) as i64 + cpus;
+            let limit = self.limit(&team).unwrap_or(0) as i64;
+            assert!(
+                limit == 0 || after <= limit,
+                "quota: {team} claims {after} of {limit}"
+            );
+        }
+    }
+
+    /// What was claimed before a limit was lowered falls with what is released.
+    fn forget_what_is_gone(&mut self) {
+        if self.configured.claimed_before.is_empty() {
+            return;
+        }
+        let booked = self.booked_cpus();
+        let mut before = std::mem::take(&mut self.configured.claimed_before);
+        before.retain(|team, claimed| {
+            *claimed = (*claimed).min(booked.get(team).copied().unwrap_or(0));
+            *claimed > self.limit(team).unwrap_or(0)
+        });
+        self.configured.claimed_before = before;
+    }
+
+    /// The settings in force, to be changed and applied.
+    pub fn policy_settings(&self) -> PolicySettings {
+        let policy = self.configured.policy.as_ref();
+        let teams = policy.unwrap_or(&self.settings.policy).teams.values();
+        let cpus = |milli: u64| milli as f64 / 1e3;
+        let teams = teams.map(|team| TeamSettings {
+            name: team.name.clone(),
+            cpus: cpus(team.cpus).min(match team.cpus_max {
+                0 => f64::MAX,
+                most => cpus(most),
+            }),
+            cpus_max: cpus(team.cpus_max),
+            gpus: cpus(team.gpus),
+            gpus_max: cpus(team.gpus_max),
+        });
+        PolicySettings {
+            teams: teams.collect(),
+            ..PolicySettings::default()
+        }
+    }
+
+    /// The same with one team's limit changed, and its guarantee within it.
+    pub fn with_limit(&self, team: &str, cpus_max: f64) -> PolicySettings {
+        let mut settings = self.policy_settings();
+        for found in settings.teams.iter_mut().filter(|t| t.name == team) {
+            found.cpus_max = cpus_max;
+            found.cpus = found.cpus.min(cpus_max);
+        }
+        settings
+    }
+
+    /// The transaction that an operator sends, by what is on record now.
+    pub fn draft_configuration(&self, settings: &PolicySettings) -> Result<Txn, Refused> {
+        let configurable = self.store.get(&Key::Configurable).map(|(_, stamp)| *stamp);
+        let configurable = configurable.ok_or(Refused::NotConfigurable)?;
+        let policy = settings.policy().map_err(Refused::Absurd)?;
+        let open = self.store.values().filter_map(|(record, _)| match record {
+            Record::Job(job) => job.open(),
+            _ => None,
+        });
+        let open: Vec<&JobSpec> = open.collect();
+        configuration::review(&policy, open.into_iter()).map_err(Refused::Absurd)?;
+        let current = match self.store.get(&Key::Configuration) {
+            Some((Record::Configuration(record), stamp)) => Some((record, *stamp)),
+            _ => None,
+        };
+        let limits = ChangeLimits {
+            value_bytes: self.settings.value_bytes as usize,
+            changes: self.settings.txn_ops,
+        };
+        let at = crate::WALL0 + self.now;
+        configuration::change(settings, current, configurable, limits, at, "")
+            .map_err(Refused::Absurd)
+    }
+
+    /// An operator's transaction arrives at the state service.
+    pub fn commit_configuration(&mut self, txn: &Txn) -> Result<u64, Refused> {
+        if self.state_down {
+            return Err(Refused::Unavailable);
+        }
+        match self.execute(StateOp::Txn(txn.clone()), false) {
+            StateAnswer::Committed { .. } => Ok(self.take_configuration()),
+            StateAnswer::Conflict { .. } => Err(Refused::Conflict),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Puts a configuration on record; returns its version.
+    pub fn configure(&mut self, settings: &PolicySettings) -> Result<u64, Refused> {
+        let txn = self.draft_configuration(settings)?;
+        self.commit_configuration(&txn)
+    }
+
+    /// Another configuration is in force: what was claimed above its limits may stay until it is gone.
+    fn take_configuration(&mut self) -> u64 {
+        let Some((Record::Configuration(record), _)) = self.store.get(&Key::Configuration) else {
+            panic!("a configuration is on record");
+        };
+        let version = record.version;
+        let pages: Vec<PageRecord> = (0..record.pages)
+            .filter_map(
+                |n| match self.store.get(&Key::ConfigurationPage(version, n)) {
+                    Some((Record::ConfigurationPage(page), _)) => Some(page.clone()),
+                    _ => None,
+                },
+            )
+            .collect();
+        let settings = configuration::settings_of(&pages);
+        self.configured.policy = settings.policy().ok();
+        for (team, claimed) in self.booked_cpus() {
+            let limit = self.limit(&team).unwrap_or(0);
+            if limit > 0 && claimed > limit {
+                let before = self.configured.claimed_before.entry(team).or_default();
+                *before = claimed.max(*before);
+            }
+        }
+        version
+    }
+
+    /// Whether all nodes that run follow a version.
+    pub fn all_follow(&self, version: u64) -> bool {
+        let mut nodes = self.nodes.iter().filter_map(|slot| slot.node.as_ref());
+        nodes.all(|node| node.settings.policy.version == version)
+    }
+
+    /// A node's watch tells nothing for so long.
+    pub fn lag_watch(&mut self, n: usize, ms: u64) {
+        self.nodes[n].watch_lags_until = self.now + ms;
+    }
+
+    /// A node's watch can't go on: it reads all records again.
+    pub fn watch_gap(&mut self, n: usize) {
+        let life = self.nodes[n].life;
+        self.at(1, crate::Act::Node(n, life, Event::WatchGap));
+    }
+}
+
+pub use glenmount_core::configuration::PageRecord;
--- a/crates/world/src/play.rs
+++ b/crates/world/src/play.rs
@@ -102,14 +102,14 @@
             gpus: 0,
             gpus_max: 0,
         };
-        s.teams = day
+        s.policy.teams = day
             .teams
             .iter()
             .map(|t| (t.name.clone(), team(t)))
             .collect();
         let goals = day.classes.iter().filter(|c| !c.within_s.is_empty());
         let goals = goals.map(|c| (c.name.clone(), c.within_s.iter().map(|s| ms(*s)).collect()));
-        s.goals = goals.collect();
+        s.policy.goals = goals.collect();
         w.nodes_in = day.nodes_in.clone();
         w.capacity = day.capacity;
         w.page = 1_000;
--- a/crates/world/src/troubles.rs
+++ b/crates/world/src/troubles.rs
@@ -80,8 +80,10 @@
         };
         for (id, spec) in self.specs.iter().filter(|(id, _)| open(id)) {
             let (on, done) = (self.rules.places(id).count(), self.done_of(id));
-            let limit = self.settings.teams[&spec.team].cpus_max;
-            let under = limit == 0 || self.rules.used(&spec.team) + spec.need.cpus <= limit;
+            let used = self.rules.used(&spec.team) + spec.need.cpus;
+            let under = self
+                .limit(&spec.team)
+                .is_some_and(|limit| limit == 0 || used <= limit);
             let ready = spec.awaits.iter().all(|a| self.all_done(a));
             let plain = !spec.together && !spec.scatter;
             if on + done >= spec.tasks as usize || !under || !ready || !plain {
