--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -1,7 +1,7 @@
 //! The users' load balancer: probes controllers and picks one for each new connection.
 
 use crate::controllers::Controllers;
-use crate::counters::Kind;
+use crate::counters::{Kind, Timed};
 use crate::http::Client;
 use crate::network::{lock, Site};
 use crate::world::World;
@@ -14,6 +14,8 @@
 
 /// Between two probes, and the time that an answer may take, by protocol.
 const PROBE: Duration = Duration::from_secs(1);
+/// Between two probes of a controller that has not been ready yet.
+const FIRST_PROBE: Duration = Duration::from_millis(100);
 /// Failures in a row, or among the last probes, that make a controller unhealthy, by protocol.
 const FAILED_IN_A_ROW: usize = 2;
 const FAILED_OF_LAST: usize = 3;
@@ -135,6 +137,7 @@
 
 async fn probe(world: Arc<World>, target: Arc<Target>, site: Site) {
     let mut client = Client::new(target.address);
+    let begun_ms = world.now_ms();
     loop {
         let reaches = world.network.reaches(Site::Outside, site);
         let reply = match reaches {
@@ -146,7 +149,16 @@
             world.traffic.count(Kind::UserReady, sent, came);
         }
         let answered = reply.is_some_and(|reply| reply.status == 200);
+        let first = answered && !lock(&target.health).ever;
+        if first {
+            let took = world.now_ms() - begun_ms;
+            world.times.record(Timed::ControllerReady, took);
+        }
         lock(&target.health).probed(answered, world.now_ms());
-        sleep(PROBE).await;
+        let pause = match lock(&target.health).ever {
+            true => PROBE,
+            false => FIRST_PROBE,
+        };
+        sleep(pause).await;
     }
 }
--- a/crates/edge/src/controllers.rs
+++ b/crates/edge/src/controllers.rs
@@ -57,16 +57,41 @@
     member.strip_prefix("controller-")?.parse().ok()
 }
 
+/// Ports that are tried lie between this one and those that the kernel gives to outgoing connections: one of
+/// these might be taken while a controller is away.
+const FIRST_PORT: u16 = 12_000;
+const PORT_RANGE: &str = "/proc/sys/net/ipv4/ip_local_port_range";
+/// What is taken for the end of the range where the kernel does not tell.
+const USUAL_END: u16 = 32_768;
+/// Runs side by side begin their search this far apart, by their process ids.
+const PORTS_APART: u32 = 61;
+
+fn last_port() -> u16 {
+    let text = std::fs::read_to_string(PORT_RANGE).unwrap_or_default();
+    let first = text.split_whitespace().next().and_then(|n| n.parse().ok());
+    let first: u16 = first.unwrap_or(USUAL_END);
+    match first > FIRST_PORT {
+        true => first,
+        false => USUAL_END,
+    }
+}
+
 /// Two free ports for each controller, clients' and siblings'.
 pub async fn free_addresses(count: u32) -> std::io::Result<Vec<(SocketAddr, SocketAddr)>> {
-    let mut held = Vec::new();
-    for _ in 0..2 * count {
-        held.push(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?);
+    let span = u32::from(last_port() - FIRST_PORT);
+    let begin = std::process::id().wrapping_mul(PORTS_APART);
+    let mut addresses = Vec::new();
+    for n in 0..span {
+        let port = FIRST_PORT + (begin.wrapping_add(n) % span) as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).await.is_ok() {
+            addresses.push(address);
+        }
+        if addresses.len() == 2 * count as usize {
+            return Ok(addresses.chunks(2).map(|pair| (pair[0], pair[1])).collect());
+        }
     }
-    let addresses: std::io::Result<Vec<SocketAddr>> =
-        held.iter().map(TcpListener::local_addr).collect();
-    let pairs = addresses?;
-    Ok(pairs.chunks(2).map(|pair| (pair[0], pair[1])).collect())
+    Err(std::io::Error::other("there are not enough free ports"))
 }
 
 fn settings(plan: &Plan, n: usize, own: Addresses, links: &Links) -> String {
--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -161,9 +161,15 @@
     /// From a job's last end to the answer that it is done.
     DoneTold,
     CancellationTold,
+    /// From a configuration's commit to a controller's word, on record, that it follows that version.
+    InForce,
+    /// From an operator's command to its end.
+    ConfigurationChange,
+    /// From the start of a controller's process to its readiness; also before the measured time.
+    ControllerReady,
 }
 
-pub const TIMED: [Timed; 8] = [
+pub const TIMED: [Timed; 11] = [
     Timed::Acceptance,
     Timed::UrgentStart,
     Timed::StandardStart,
@@ -172,6 +178,9 @@
     Timed::ResultRecorded,
     Timed::DoneTold,
     Timed::CancellationTold,
+    Timed::InForce,
+    Timed::ConfigurationChange,
+    Timed::ControllerReady,
 ];
 
 /// Longest time that is told apart, in milliseconds.
@@ -204,9 +213,12 @@
         lock(&self.0[what as usize]).saturating_record(took_ms.max(1));
     }
 
+    /// Begins anew, but for what is timed at the start of processes.
     pub fn clear(&self) {
-        for histogram in &self.0 {
-            lock(histogram).reset();
+        for (what, histogram) in TIMED.iter().zip(&self.0) {
+            if *what != Timed::ControllerReady {
+                lock(histogram).reset();
+            }
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod machine;
 pub mod network;
+pub mod operator;
 pub mod plan;
 pub mod processes;
 pub mod protocol;
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -16,6 +16,8 @@
 const MOST_ENTRIES: usize = 200;
 /// Jobs that a plan may bring, so that a run stays within its memory.
 const MOST_JOBS: f64 = 50_000.0;
+/// Ended jobs on record at the start: some 300 bytes each in the stand-in's memory.
+const MOST_ENDED_JOBS: u32 = 4_000_000;
 /// Tasks of a job at most, by protocol.
 const MOST_TASKS: u32 = 100_000;
 
@@ -65,6 +67,15 @@
     pub state: StateLimits,
     pub cloud: CloudLimits,
     pub teams: Teams,
+    /// Changes of the configuration on record, evenly over the run; the first one adopts the settings.
+    #[serde(default)]
+    pub configuration_changes_per_minute: f64,
+    /// Only so many of the zones, the first ones, are there.
+    #[serde(default = "all_zones")]
+    pub most_zones: usize,
+    /// Jobs that ended before the run and are on record.
+    #[serde(default)]
+    pub ended_jobs: u32,
     #[serde(default)]
     pub jobs: Vec<JobClass>,
     #[serde(default)]
@@ -192,6 +203,10 @@
     }
 }
 
+fn all_zones() -> usize {
+    usize::MAX
+}
+
 /// Something that goes wrong `at_s` seconds into what is measured.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -295,12 +310,23 @@
         for change in changes {
             replace(&mut table, change)?;
         }
-        let plan: Plan = (toml::Value::Table(table).try_into())
+        let mut plan: Plan = (toml::Value::Table(table).try_into())
             .map_err(|e: toml::de::Error| PlanError::new("plan", one_line(&e)))?;
+        plan.check_places()?;
+        plan.leave_zones_out();
         plan.check()?;
         Ok(plan)
     }
 
+    fn leave_zones_out(&mut self) {
+        let mut left = self.most_zones;
+        for region in &mut self.regions {
+            region.zones.truncate(left);
+            left -= region.zones.len();
+        }
+        self.regions.retain(|region| !region.zones.is_empty());
+    }
+
     /// All zones with the region of each.
     pub fn zones(&self) -> Vec<(&str, usize)> {
         (self.regions.iter().enumerate())
@@ -343,6 +369,7 @@
     }
 
     fn check_places(&self) -> Result<(), PlanError> {
+        require(self.most_zones > 0, "most_zones", "from 1")?;
         require(
             (1..=16).contains(&self.regions.len()),
             "regions",
@@ -377,6 +404,7 @@
             ("workers.count", self.workers.count, 1, MOST_WORKERS),
             ("state.txn_ops", self.state.txn_ops, 4, 1_000),
             ("cloud.spare", self.cloud.spare, 0, MOST_WORKERS),
+            ("ended_jobs", self.ended_jobs, 0, MOST_ENDED_JOBS),
             ("teams.count", self.teams.count, 1, MOST_TEAMS),
         ];
         for (field, value, least, most) in counts {
@@ -410,6 +438,12 @@
             ("state.write_rps", self.state.write_rps, 5.0, 1e5),
             ("state.value_kb", self.state.value_kb, 1.0, 64.0),
             ("state.latency_ms", self.state.latency_ms, 0.0, 5e3),
+            (
+                "configuration_changes_per_minute",
+                self.configuration_changes_per_minute,
+                0.0,
+                600.0,
+            ),
             ("cloud.rps", self.cloud.rps, 1.0, 1e4),
             ("cloud.latency_ms", self.cloud.latency_ms, 0.0, 1e4),
             ("cloud.list_lag_s", self.cloud.list_lag_s, 0.0, 60.0),
--- a/crates/edge/src/result.rs
+++ b/crates/edge/src/result.rs
@@ -243,6 +243,14 @@
                 "cancellation told p99 (ms)",
                 ms(Timed::CancellationTold, |q| q.p99_ms),
             ),
+            (
+                "configuration in force p99 (ms)",
+                ms(Timed::InForce, |q| q.p99_ms),
+            ),
+            (
+                "controller ready p50 (ms)",
+                ms(Timed::ControllerReady, |q| q.p50_ms),
+            ),
         ]
     }
 
--- a/crates/edge/src/rules.rs
+++ b/crates/edge/src/rules.rs
@@ -10,6 +10,9 @@
 const SILENT_MS: u64 = 90_000;
 /// Share of all polls that must have got answers meanwhile.
 const MOST_ANSWERED: f64 = 0.5;
+/// What was claimed before a limit was lowered may still start for so long, by then its start has arrived or
+/// never will.
+const LOWERED_GRACE_MS: u64 = 10_000;
 /// Breaches kept; one is enough to fail a run.
 const MOST_BREACHES: usize = 1_000;
 
@@ -55,11 +58,20 @@
     live: BTreeMap<u32, (String, String)>,
 }
 
+/// A team's limit, in thousandths of processors, and the one before it.
+struct ChangedLimit {
+    now: u64,
+    before: u64,
+    changed_ms: u64,
+}
+
 /// What is known of all jobs and tasks, and the breaches seen so far.
 pub struct Rules {
     cancel_ms: u64,
     /// Thousandths of processors that a team may use; 0: no limit.
     limit: u64,
+    /// Of teams whose limit was changed.
+    limits: HashMap<String, ChangedLimit>,
     jobs: HashMap<Arc<str>, Job>,
     used: HashMap<String, u64>,
     /// Cancelled jobs that had tasks left when last looked at.
@@ -78,6 +90,7 @@
         Rules {
             cancel_ms: (cancel_s * 1_000.0) as u64,
             limit: thousandths(cpus_max),
+            limits: HashMap::new(),
             jobs: HashMap::new(),
             used: HashMap::new(),
             cancelled: BTreeSet::new(),
@@ -156,7 +169,8 @@
         }
         let used = self.used.entry(submission.team.clone()).or_default();
         *used += thousandths(submission.vcpus);
-        let (used, limit) = (*used, self.limit);
+        let used = *used;
+        let limit = self.limit_of(&submission.team, now_ms);
         if limit > 0 && used > limit {
             let what = format!("{} uses {used} of {limit}", submission.team);
             self.breach(Rule::Quota, what, now_ms);
@@ -185,6 +199,27 @@
         }
     }
 
+    /// Another limit of a team has come into force.
+    pub fn limit_changed(&mut self, team: &str, cpus_max: f64, now_ms: u64) {
+        let before = self.limits.get(team).map_or(self.limit, |limit| limit.now);
+        let changed = ChangedLimit {
+            now: thousandths(cpus_max),
+            before,
+            changed_ms: now_ms,
+        };
+        self.limits.insert(team.to_string(), changed);
+    }
+
+    fn limit_of(&self, team: &str, now_ms: u64) -> u64 {
+        let Some(limit) = self.limits.get(team) else {
+            return self.limit;
+        };
+        match now_ms < limit.changed_ms + LOWERED_GRACE_MS {
+            true => limit.now.max(limit.before),
+            false => limit.now,
+        }
+    }
+
     pub fn cancel_asked(&mut self, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
             job.cancel_asked = true;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -6,11 +6,12 @@
 use crate::counters::{Kind, Traffic};
 use crate::fleet::Fleet;
 use crate::link::Links;
-use crate::network::lock;
+use crate::network::{lock, Site};
+use crate::operator;
 use crate::plan::{Plan, ZoneIndex};
 use crate::processes::{machine_memory_mb, usage, Usage};
 use crate::result::{ControllerUse, Figures, Records, RunResult, Starts, WorkerBytes};
-use crate::state_service::StateService;
+use crate::state_service::{StateService, OPERATORS};
 use crate::troubles::{self, Struck};
 use crate::users::Users;
 use crate::world::World;
@@ -129,7 +130,7 @@
         addresses.push(Addresses {
             clients,
             siblings,
-            state: state.listen(n as u32, zones[n]).await?,
+            state: state.listen(n as u32, Site::Zone(zones[n])).await?,
             cloud: cloud.listen(zones[n]).await?,
         });
     }
@@ -138,6 +139,10 @@
     cloud.start_with(plan.workers.count);
     let balancer = Balancer::start(&world, &controllers);
     Users::start(world.clone(), balancer, controllers.clone());
+    if plan.configuration_changes_per_minute > 0.0 {
+        let address = state.listen(OPERATORS, Site::Outside).await?;
+        tokio::spawn(operator::play(world.clone(), address));
+    }
     troubles::play(&Struck {
         world: world.clone(),
         fleet: fleet.clone(),
--- a/crates/edge/src/state_service.rs
+++ b/crates/edge/src/state_service.rs
@@ -1,15 +1,17 @@
 //! A stand-in of the state service: the store behind HTTP, with limits, latency, outages and refusals.
 
-use crate::counters::Kind;
+use crate::counters::{Kind, Timed};
 use crate::http::{serve, Answer, Incoming};
 use crate::limits::RateLimit;
 use crate::network::{lock, Site};
-use crate::plan::ZoneIndex;
 use crate::store::{kind_of, Outcome, Sizes, Store, Transaction};
 use crate::world::World;
+use glenmount_core::formats::LATEST;
+use glenmount_core::records::{JobRecord, Key, Phase, Record};
 use hyper::Method;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -24,6 +26,10 @@
 /// One answer in so many takes some hundred milliseconds.
 const SLOW_ONE_IN: u32 = 500;
 const SLOW_MS: std::ops::Range<u64> = 150..400;
+/// Time of day at which preloaded jobs were accepted.
+const ENDED_AT_MS: u64 = 1_700_000_000_000;
+/// Stands for operators where controllers are numbered; their traffic is not counted with these.
+pub const OPERATORS: u32 = u32::MAX;
 /// How often leases are looked at.
 const LEASE_CHECK: Duration = Duration::from_millis(50);
 const LEASE_LIFE_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
@@ -76,14 +82,27 @@
     down: AtomicBool,
     /// Controllers that get 503.
     refused: Mutex<BTreeSet<u32>>,
+    /// When versions of the configuration were committed.
+    versions: Mutex<BTreeMap<u64, u64>>,
+}
+
+/// The part of a configuration's records that is looked at here.
+#[derive(Deserialize)]
+struct VersionOf {
+    v: u64,
 }
 
 impl StateService {
     pub fn new(world: Arc<World>) -> Arc<StateService> {
         let limits = &world.plan.state;
+        let mut store = Store::default();
+        for n in 0..world.plan.ended_jobs {
+            let (key, value) = ended_job(n);
+            store.preload(key, value);
+        }
         let service = Arc::new(StateService {
-            store: Mutex::default(),
-            epoch: watch::channel(0).0,
+            epoch: watch::channel(store.epoch()).0,
+            store: Mutex::new(store),
             limits: Mutex::new(Limits {
                 requests: RateLimit::new(limits.rps, BURST_S),
                 changes: RateLimit::new(limits.write_rps, BURST_S),
@@ -91,17 +110,19 @@
             latency_ms: AtomicU64::new(limits.latency_ms.round() as u64),
             down: AtomicBool::new(false),
             refused: Mutex::default(),
+            versions: Mutex::default(),
             world,
         });
         tokio::spawn(service.clone().expire_leases());
         service
     }
 
-    /// An address of its own for a controller, by which that one is known.
+    /// An address of its own for a controller, by which that one is known; or for operators, who stand
+    /// outside of all zones.
     pub async fn listen(
         self: &Arc<Self>,
         controller: u32,
-        zone: ZoneIndex,
+        zone: Site,
     ) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
@@ -137,15 +158,17 @@
         look(&lock(&self.store))
     }
 
-    async fn serve(&self, request: Incoming, controller: u32, zone: ZoneIndex) -> Answer {
+    async fn serve(&self, request: Incoming, controller: u32, zone: Site) -> Answer {
         let network = &self.world.network;
-        network.until_reached(Site::Zone(zone), Site::Outside).await;
+        network.until_reached(zone, Site::Outside).await;
         let kind = kind(&request);
         let request_bytes = request.bytes;
         let answer = self.answer(request, controller).await;
-        network.until_reached(Site::Outside, Site::Zone(zone)).await;
+        network.until_reached(Site::Outside, zone).await;
         let traffic = &self.world.traffic;
-        traffic.count(kind, request_bytes, answer.bytes());
+        if controller != OPERATORS {
+            traffic.count(kind, request_bytes, answer.bytes());
+        }
         answer
     }
 
@@ -216,6 +239,7 @@
             return problem(429, "too many changes");
         }
         let shape = shape(&transaction);
+        let versions = versions(&transaction);
         let kinds: Vec<String> = transaction.apply.iter().map(|c| kind_of(c.key())).collect();
         let limits = &self.world.plan.state;
         let sizes = Sizes {
@@ -237,6 +261,9 @@
             }
             Outcome::Malformed(what) => (problem(400, what), " (refused)"),
         };
+        if let Outcome::Committed(_) = outcome {
+            self.note_versions(versions);
+        }
         let name = format!("{shape}{ended}");
         self.world.transactions.add(&name, 1);
         for kind in kinds {
@@ -245,6 +272,24 @@
         answer
     }
 
+    /// Notes when a version is committed, and how long it took until a controller follows it.
+    fn note_versions(&self, changed: Vec<Versioned>) {
+        let now_ms = self.world.now_ms();
+        let mut versions = lock(&self.versions);
+        for change in changed {
+            match change {
+                Versioned::Committed(version) => {
+                    versions.insert(version, now_ms);
+                }
+                Versioned::Followed(version) => {
+                    if let Some(at) = versions.get(&version) {
+                        self.world.times.record(Timed::InForce, now_ms - at);
+                    }
+                }
+            }
+        }
+    }
+
     async fn watch(&self, request: &Incoming, controller: u32) -> Answer {
         let under = request.word("under");
         let since = request.number("since").unwrap_or(0);
@@ -312,6 +357,42 @@
     }
 }
 
+/// The record of a job that ended long ago, as controllers write it.
+fn ended_job(n: u32) -> (String, crate::store::Value) {
+    let id = format!("j-8{n:07}");
+    let record = Record::Job(JobRecord {
+        phase: Phase::Done,
+        tasks: 1 + n % 700,
+        chunk: 100,
+        at: ENDED_AT_MS + u64::from(n),
+        ended: ENDED_AT_MS + u64::from(n) + 60_000,
+        spec: None,
+    });
+    let text = record.value(LATEST).to_string();
+    let value = RawValue::from_string(text).unwrap_or_else(|_| RawValue::NULL.to_owned());
+    (Key::Job(id).path(), Arc::from(value))
+}
+
+/// What a transaction says of versions of the configuration.
+enum Versioned {
+    Committed(u64),
+    Followed(u64),
+}
+
+fn versions(transaction: &Transaction) -> Vec<Versioned> {
+    let each = transaction.apply.iter().filter_map(|change| {
+        let key = change.put.as_deref()?;
+        let wanted = key == "g/configuration" || key.starts_with("g/following/");
+        let value = change.v.as_ref().filter(|_| wanted)?;
+        let version = serde_json::from_str::<VersionOf>(value.get()).ok()?.v;
+        Some(match key {
+            "g/configuration" => Versioned::Committed(version),
+            _ => Versioned::Followed(version),
+        })
+    });
+    each.collect()
+}
+
 fn problem(status: u16, error: &str) -> Answer {
     Answer::json(status, &Problem { error })
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -146,6 +146,18 @@
         kinds
     }
 
+    /// Puts a value there as if a transaction had, long before anybody watches.
+    pub fn preload(&mut self, key: String, value: Value) {
+        self.epoch += 1;
+        self.bytes += key.len() + value.get().len();
+        let stored = Stored {
+            value,
+            stamp: self.epoch,
+            lease: None,
+        };
+        self.items.insert(key, stored);
+    }
+
     pub fn transact(&mut self, transaction: Transaction, bytes: usize, sizes: Sizes) -> Outcome {
         if let Some(problem) = malformed(&transaction, bytes, sizes) {
             return Outcome::Malformed(problem);
--- a/crates/edge/tests/rules.rs
+++ b/crates/edge/tests/rules.rs
@@ -97,6 +97,17 @@
     assert_eq!(broken(&rules), [Rule::Quota]);
 }
 
+#[test]
+fn a_limit_that_was_lowered_holds_once_what_was_claimed_before_has_started() {
+    let mut rules = rules(submission(9));
+    rules.started(&task(0), &place("n-1", "a"), 10);
+    rules.limit_changed("t", 1.0, 1_000);
+    rules.started(&task(1), &place("n-1", "a"), 2_000);
+    assert_eq!(broken(&rules), []);
+    rules.started(&task(2), &place("n-1", "a"), 11_001);
+    assert_eq!(broken(&rules), [Rule::Quota]);
+}
+
 #[test]
 fn a_start_where_its_job_does_not_allow_it_is_a_wrong_place() {
     let wrong = |change: fn(&mut Submission), on: &[Place]| {
