--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -85,16 +85,13 @@
         #[arg(default_value = "KNOWN-RED.txt")]
         list: PathBuf,
     },
-    /// Writes a site with more machines, jobs and processors than the users' file has, limits as they are
+    /// Writes a site of another size than the users' file has, limits as they are
     Larger {
         /// The users' site files
         #[arg(required = true)]
         sites: Vec<PathBuf>,
-        #[arg(long, default_value_t = 1.5)]
-        factor: f64,
-        /// Seconds after which a process that ended is back, instead of the file's
-        #[arg(long)]
-        back_s: Option<f64>,
+        #[command(flatten)]
+        sizes: larger::Sizes,
         /// A folder outside the repository
         #[arg(long)]
         out: PathBuf,
@@ -132,14 +129,9 @@
             }
             Ok(true)
         }
-        Verb::Larger {
-            sites,
-            factor,
-            back_s,
-            out,
-        } => {
+        Verb::Larger { sites, sizes, out } => {
             for site in sites {
-                println!("{}", larger::write(&site, factor, back_s, &out)?.display());
+                println!("{}", larger::write(&site, &sizes, &out)?.display());
             }
             Ok(true)
         }
