--- a/crates/edge/src/controllers.rs
+++ b/crates/edge/src/controllers.rs
@@ -10,6 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use tokio::net::TcpListener;
 use tokio::process::{Child, Command};
@@ -63,8 +64,10 @@
 const PORT_RANGE: &str = "/proc/sys/net/ipv4/ip_local_port_range";
 /// What is taken for the end of the range where the kernel does not tell.
 const USUAL_END: u16 = 32_768;
-/// Runs side by side begin their search this far apart, by their process ids.
-const PORTS_APART: u32 = 61;
+/// Processes side by side begin their search this far apart, by their ids.
+const PORTS_APART: u32 = 1_009;
+/// Ports looked at so far: runs of one process never take the same, also when they are played side by side.
+static PORTS_SEEN: AtomicU32 = AtomicU32::new(0);
 
 fn last_port() -> u16 {
     let text = std::fs::read_to_string(PORT_RANGE).unwrap_or_default();
@@ -81,7 +84,8 @@
     let span = u32::from(last_port() - FIRST_PORT);
     let begin = std::process::id().wrapping_mul(PORTS_APART);
     let mut addresses = Vec::new();
-    for n in 0..span {
+    for _ in 0..span {
+        let n = PORTS_SEEN.fetch_add(1, Relaxed);
         let port = FIRST_PORT + (begin.wrapping_add(n) % span) as u16;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         if TcpListener::bind(address).await.is_ok() {
--- a/crates/edge/src/main.rs
+++ b/crates/edge/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Parser, Subcommand};
 use glenmount_edge::plan::Plan;
 use glenmount_edge::result::{Earlier, Figures, RunResult};
-use glenmount_edge::run::{run, Options, RunError};
+use glenmount_edge::run::{run_alone, Options, RunError};
 use glenmount_edge::{compare, slopes};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -111,8 +111,7 @@
     Failure::Unusable(error.to_string())
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let outcome = match &arguments.command {
         Command::Scale {
@@ -120,19 +119,19 @@
             binary,
             out,
             compare,
-        } => scale(common, binary, out.as_deref(), compare.as_deref()).await,
+        } => scale(common, binary, out.as_deref(), compare.as_deref()),
         Command::Slopes {
             common,
             binary,
             vary,
             out,
-        } => vary_size(common, binary, vary, out.as_deref()).await,
+        } => vary_size(common, binary, vary, out.as_deref()),
         Command::Builds {
             common,
             binary,
             against,
             pairs,
-        } => builds(common, binary, against, *pairs).await,
+        } => builds(common, binary, against, *pairs),
     };
     match outcome {
         Ok(true) => ExitCode::SUCCESS,
@@ -160,7 +159,7 @@
     }
 }
 
-async fn scale(
+fn scale(
     common: &Common,
     binary: &Path,
     out: Option<&Path>,
@@ -174,7 +173,7 @@
         plan.name
     );
     let options = common.options(binary, common.folder.clone());
-    let result = run(plan, &options).await?;
+    let result = run_alone(plan, &options)?;
     print!("{}", result.figures.table());
     if let Some(earlier) = earlier {
         print!("{}", compare::table(&earlier.figures, &result.figures));
@@ -201,7 +200,7 @@
     each.collect()
 }
 
-async fn vary_size(
+fn vary_size(
     common: &Common,
     binary: &Path,
     vary: &str,
@@ -213,7 +212,7 @@
         let changes: Vec<String> = common.changes.iter().cloned().chain(changes).collect();
         let plan = Plan::read(&common.plan, &changes).map_err(unusable)?;
         let folder = common.folder.join(format!("{size}"));
-        let result = run(plan, &common.options(binary, folder)).await?;
+        let result = run_alone(plan, &common.options(binary, folder))?;
         print_faults(&result);
         good &= result.is_good();
         runs.push((size, result.figures));
@@ -242,19 +241,14 @@
     Ok(good)
 }
 
-async fn builds(
-    common: &Common,
-    binary: &Path,
-    against: &Path,
-    pairs: u32,
-) -> Result<bool, Failure> {
+fn builds(common: &Common, binary: &Path, against: &Path, pairs: u32) -> Result<bool, Failure> {
     let mut good = true;
     for pair in 0..pairs {
         let mut figures = Vec::new();
         for (name, build) in [("against", against), ("binary", binary)] {
             let plan = Plan::read(&common.plan, &common.changes).map_err(unusable)?;
             let folder = common.folder.join(name);
-            let result = run(plan, &common.options(build, folder)).await?;
+            let result = run_alone(plan, &common.options(build, folder))?;
             print_faults(&result);
             good &= result.is_good();
             figures.push(result.figures);
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -167,6 +167,18 @@
     pub progress: bool,
 }
 
+/// Time that tasks of a run get to end when it is over.
+const TASKS_END: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Plays a plan in a runtime of its own. Nothing of a run is left for the next one: workers and users that
+/// went on would report to the next run's controllers, under the same names.
+pub fn run_alone(plan: Plan, options: &Options) -> Result<RunResult, RunError> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    let outcome = runtime.block_on(run(plan, options));
+    runtime.shutdown_timeout(TASKS_END);
+    outcome
+}
+
 /// Plays a plan to its end; all processes that it started have ended when it returns.
 pub async fn run(plan: Plan, options: &Options) -> Result<RunResult, RunError> {
     let launch = Launch {
--- a/crates/glenmount/tests/small_plan.rs
+++ b/crates/glenmount/tests/small_plan.rs
@@ -3,26 +3,52 @@
 
 use glenmount_edge::counters::Timed;
 use glenmount_edge::plan::Plan;
-use glenmount_edge::run::{run, Options};
+use glenmount_edge::run::{run_alone, Options};
 use std::path::PathBuf;
 
 const PLAN: &str = include_str!("../../edge/plans/small.toml");
 
-#[tokio::test(flavor = "multi_thread")]
-async fn the_small_plan_breaks_no_rule_and_comes_to_its_end() {
-    let plan = Plan::parse(PLAN, &[]).unwrap();
-    let folder = std::env::temp_dir().join(format!("glenmount-small-{}", std::process::id()));
-    let options = Options {
+fn options(name: &str) -> Options {
+    let folder = format!("glenmount-{name}-{}", std::process::id());
+    Options {
         binary: PathBuf::from(env!("CARGO_BIN_EXE_glenmount")),
-        folder: folder.clone(),
+        folder: std::env::temp_dir().join(folder),
         log_level: "error".into(),
         progress: false,
-    };
-    let result = run(plan, &options).await.unwrap();
+    }
+}
+
+#[test]
+fn the_small_plan_breaks_no_rule_and_comes_to_its_end() {
+    let plan = Plan::parse(PLAN, &[]).unwrap();
+    let options = options("small");
+    let result = run_alone(plan, &options).unwrap();
     assert!(result.breaches.is_empty(), "{:?}", result.breaches);
     assert!(result.ended.is_empty(), "{:?}", result.ended);
     assert!(result.is_good());
     let done = result.figures.times[&Timed::DoneTold].count;
     assert!(done > 0, "{}", result.figures.table());
-    std::fs::remove_dir_all(&folder).unwrap();
+    let in_force = result.figures.times[&Timed::InForce].count;
+    assert!(in_force > 0, "{}", result.figures.table());
+    std::fs::remove_dir_all(&options.folder).unwrap();
+}
+
+/// Workers and users of a run that was over went on and reported to the next one's controllers, at the same
+/// addresses and under the same names: tasks "ran twice", jobs were "done" before they were.
+#[test]
+fn nothing_of_a_run_is_left_for_the_next_one() {
+    let options = options("twice");
+    let changes = [
+        "troubles=[]",
+        "warm_up_s=4.0",
+        "seconds=5.0",
+        "settle_s=0.0",
+    ];
+    let changes = changes.map(String::from);
+    for _ in 0..2 {
+        let plan = Plan::parse(PLAN, &changes).unwrap();
+        let result = run_alone(plan, &options).unwrap();
+        assert!(result.is_good(), "{:?}", result.breaches);
+    }
+    std::fs::remove_dir_all(&options.folder).unwrap();
 }
