Stand-ins' tests: the store's test as strict as the one it replaced; one sample submission

The test that moved out of the stand-in's source had lost three of its looks: a list after a key, a put on the revision that there is, and a key that is gone. They are back. Both test files share one submission.

--- a/crates/edge/tests/rules.rs
+++ b/crates/edge/tests/rules.rs
@@ -1,6 +1,7 @@
 //! Each rule is found broken when it is, and not otherwise.
 
-use glenmount_edge::plan::{Rank, Shape};
+mod common;
+
 use glenmount_edge::protocol::{Standing, Submission, TaskId};
 use glenmount_edge::rules::{Place, Rule, Rules};
 use std::sync::Arc;
@@ -10,28 +11,7 @@
 const JOB: &str = "j-000001";
 
 fn submission(tasks: u32) -> Submission {
-    Submission {
-        id: JOB.into(),
-        class: "c".into(),
-        team: "t".into(),
-        shape: Shape::Array,
-        rank: Rank::Standard,
-        tasks,
-        vcpus: 1.0,
-        accelerators: 0.0,
-        ram_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        machine_types: None,
-        zone: None,
-        together: false,
-        scatter: false,
-        spot: false,
-        expect_s: 1.0,
-        snapshot_s: 0.0,
-        flush_s: 0.0,
-        due_s: None,
-    }
+    common::submission(JOB, tasks, 1.0)
 }
 
 fn rules(submission: Submission) -> Rules {
--- a/crates/edge/tests/stand_ins.rs
+++ b/crates/edge/tests/stand_ins.rs
@@ -1,11 +1,12 @@
 //! The stand-ins keep to the protocol: the store, the rates, the workers.
 
+mod common;
+
 use glenmount_edge::limits::RateLimit;
 use glenmount_edge::machine::{
     Accepted, Capacity, Change, Described, Descriptions, Identity, Machine,
 };
-use glenmount_edge::plan::{Rank, Shape};
-use glenmount_edge::protocol::{Order, Submission, TaskId, Verb};
+use glenmount_edge::protocol::{Order, TaskId, Verb};
 use glenmount_edge::store::{Outcome, Sizes, Store, Transaction};
 use std::sync::Arc;
 
@@ -30,12 +31,16 @@
         transact(&mut store, first),
         Outcome::Conflict { failed, epoch: 1 }
     );
+    let again = r#"{"if":[{"k":"c/a","stamp":1}],"apply":[{"put":"c/a","v":1}]}"#;
+    assert_eq!(transact(&mut store, again), Outcome::Committed(2));
     let page = store.list("c/", "", 10);
     assert_eq!((page.items.len(), page.more), (1, false));
-    let gone = r#"{"if":[{"k":"c/a","stamp":1}],"apply":[{"remove":"c/a"}]}"#;
-    assert_eq!(transact(&mut store, gone), Outcome::Committed(2));
-    assert_eq!(store.news("c/", 1).unwrap().len(), 1);
-    assert_eq!(store.news("", 0).unwrap().len(), 3);
+    assert!(store.list("c/", "c/a", 10).items.is_empty());
+    let gone = r#"{"if":[{"k":"c/a","stamp":2}],"apply":[{"remove":"c/a"}]}"#;
+    assert_eq!(transact(&mut store, gone), Outcome::Committed(3));
+    assert!(store.get("c/a").is_none() && store.epoch() == 3);
+    assert_eq!(store.news("c/", 2).unwrap().len(), 1);
+    assert_eq!(store.news("", 0).unwrap().len(), 4);
     assert_eq!((store.records(), store.bytes()), (1, 4));
 }
 
@@ -85,28 +90,7 @@
 
 impl Descriptions for OneJob {
     fn find(&self, id: &str) -> Option<Described> {
-        let submission = Submission {
-            id: id.into(),
-            class: "c".into(),
-            team: "t".into(),
-            shape: Shape::Array,
-            rank: Rank::Standard,
-            tasks: 4,
-            vcpus: 2.0,
-            accelerators: 0.0,
-            ram_gb: 1.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            machine_types: None,
-            zone: None,
-            together: false,
-            scatter: false,
-            spot: false,
-            expect_s: 1.0,
-            snapshot_s: 0.0,
-            flush_s: 0.0,
-            due_s: None,
-        };
+        let submission = common::submission(id, 4, 2.0);
         (id == "j-000001").then(|| Described {
             submission: Arc::new(submission),
             run_ms: 1_000,
