--- a/crates/edge/src/counters.rs
+++ b/crates/edge/src/counters.rs
@@ -50,16 +50,6 @@
     Kind::UserReady,
 ];
 
-impl Kind {
-    /// Whether it is a worker's part in control.
-    pub fn is_workers(self) -> bool {
-        matches!(
-            self,
-            Kind::WorkerCommand | Kind::WorkerStatus | Kind::WorkerReport
-        )
-    }
-}
-
 /// Exchanges of one kind. Bytes are those of HTTP heads and bodies, or of the siblings' frames, without
 /// the network's own.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/edge/src/rules.rs
+++ b/crates/edge/src/rules.rs
@@ -109,11 +109,6 @@
         self.jobs.values().map(|job| job.live.len()).sum()
     }
 
-    /// Whether every task of a job has completed.
-    pub fn is_complete(&self, id: &str) -> bool {
-        self.jobs.get(id).is_some_and(Job::is_complete)
-    }
-
     pub fn submitted(&mut self, submission: Arc<Submission>, now_ms: u64) {
         let job = Job {
             accepted_ms: None,
--- a/crates/world/src/operator.rs
+++ b/crates/world/src/operator.rs
@@ -6,7 +6,7 @@
 
 use crate::World;
 use glenmount_core::configuration::{
-    self, ChangeLimits, ConfigurationError, Policy, PolicySettings, TeamSettings,
+    self, ChangeLimits, ConfigurationError, PageRecord, Policy, PolicySettings, TeamSettings,
 };
 use glenmount_core::model::JobSpec;
 use glenmount_core::node::{Event, StateAnswer, StateOp};
@@ -211,5 +211,3 @@
         self.at(1, crate::Act::Node(n, life, Event::WatchGap));
     }
 }
-
-pub use glenmount_core::configuration::PageRecord;
