--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,7 +34,7 @@
         workers[name].is_sick = True
         world.record.line("trouble", f"{name} fails every task that it starts")
     status = world.submit(job(SERVICE, jobclass="pusher", owner="hub-ops", shape="daemon",
-                              rank="critical", drops=REPLICAS, vcpus=4.0, ramGb=7.3, pullGb=1.5,
+                              rank="critical", drops=REPLICAS, vcpus=4.0, ramGb=7.3, pullGb=1.0,
                               expectS=0.0, reclaimable=False), 0.0)
     if status != 201:
         raise CannotRun("the service was not accepted")
