--- a/review/standins.py
+++ b/review/standins.py
@@ -643,6 +643,8 @@
         return "\n".join(lines) + "\n"
 
     def start(self):
+        if self.world.is_over:
+            return
         path = os.path.join(self.world.folder, f"{self.name}.toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings())
