review: case 6, a job behind 400 more urgent ones is not looked at

Cause: the queue is cut to 400 jobs before it is known which of them any machine can take. The former case 6, a service that met three faulty machines, is dropped: the earlier case 1 shows it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -13,7 +13,7 @@
 # The stand-ins and the controllers that they start form a process group, which ends with this script.
 set -m
 # shellcheck disable=SC2086
-"$world" service "$here/record.txt" "$folder" "${TROUBLE:-1}" $run &
+"$world" queue "$here/record.txt" "$folder" "${TROUBLE:-1}" $run &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$folder"' EXIT
 trap 'exit 2' INT TERM
