A machine gets no more tasks than its heartbeats can list

Every controller answered its heartbeats with 400 "too many drops", its lease expired after 10 s, all its tasks were killed, another team's service with them, and the same tasks were placed there again. 0 of 5,000 tasks completed in 75 s.

Cause: two limits that one side enforced and the other did not keep. Reading a heartbeat refused more than 1,000 tasks, a limit that the protocol does not have, and the protocol's 64 KiB of a request body; placement, preemption, migration, evacuation and scale-out counted only processors, accelerators and memory. The first limit is the case's: the log has `unreadable check-in why="too many drops"` for each heartbeat, of less than 59,000 bytes. The second came next: without the count, the same array on short names exceeds 64 KiB from some 1,150 tasks on.

Ruled out: oversized bodies in the case (the largest was below the limit), heartbeats dropped as duplicates or outdated (the reply is 503), lost starts.

Change: - `Resources` has a fourth amount, the bytes of a task's entry in heartbeats, at its longest form. It is neither stored nor sent. All that asks what a machine can take asks `fits` or `max_tasks`, so that all of it keeps the limit. - Assigned tasks may take half of a request body; the rest is for results that the worker was not told to forget. The controller that receives a machine's heartbeats counts these as well. - A claim for a machine with many tasks writes its record, unchanged, so that concurrent claims conflict. This touches invariant 2: a claim now is also conditional on the number of tasks that it rests on, and still on all that it was. Machines above one part of the space in as many as there are controllers are concerned, so usual claims write as before.

Mixed fleets: the stored forms are unchanged. Older controllers place above the limit and refuse heartbeats above 1,000 tasks; the worker then finds a newer controller, which accepts up to 64 KiB. Machines above the limit get no further tasks; those whose heartbeats exceed 64 KiB lose their lease once and recover. Both have scenarios.

Tests: the simulation computes the size of each message and lets oversized ones fail.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -443,8 +443,14 @@
 pub const MAX_INCARNATION: u64 = 1 << 32;
 /// Limit of a worker's sequence number: a million messages a second for some years.
 pub const MAX_SEQUENCE: u64 = 1 << 48;
-/// Limit of tasks in a worker heartbeat.
-pub const HEARTBEAT_MAX_TASKS: usize = 1_000;
+/// Size of a heartbeat without its tasks, with the longest names and numbers.
+pub const HEARTBEAT_BASE_BYTES: u64 = 1_024;
+/// Size of a task's entry in a heartbeat without the id of its job: a task number of 5 digits, an attempt of
+/// 20, and the state of a stopped task, which is the longest.
+pub const HEARTBEAT_TASK_BYTES: u64 = 98;
+/// Size of the entries that all tasks assigned to a machine may have in its heartbeats. They take half of a
+/// request body: the other half is for tasks that have ended and that the worker has not been told to forget.
+pub const HEARTBEAT_ASSIGNED_BYTES: u64 = (REQUEST_BODY_MAX_BYTES - HEARTBEAT_BASE_BYTES) / 2;
 /// Limit of commands in the reply to a heartbeat. Each takes about 90 bytes, and a line may have 64 KiB.
 pub const REPLY_MAX_COMMANDS: usize = 600;
 /// Limit of a request body, by protocol.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -1,5 +1,6 @@
 //! The domain model: jobs, tasks, machines, machine types, heartbeats and commands.
 
+use crate::constants::{HEARTBEAT_ASSIGNED_BYTES, HEARTBEAT_TASK_BYTES};
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds of the monotonic clock since the start of the process.
@@ -21,7 +22,7 @@
     Production,
 }
 
-/// An amount of resources in thousandths, so that sums stay exact.
+/// An amount of resources, those of a machine's hardware in thousandths, so that sums stay exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Resources {
     #[serde(rename = "c")]
@@ -30,6 +31,15 @@
     pub gpus: u64,
     #[serde(rename = "r")]
     pub ram: u64,
+    /// Bytes of task entries in a machine's heartbeats, whose size is limited. Not stored or sent: it is set by
+    /// [`JobSpec::task_request`] and [`MachineType::task_capacity`].
+    #[serde(skip)]
+    pub heartbeat_bytes: u64,
+}
+
+/// Returns the most bytes that the entry of a task of this job takes in a heartbeat.
+pub fn heartbeat_task_bytes(job: &str) -> u64 {
+    HEARTBEAT_TASK_BYTES + job.len() as u64
 }
 
 /// Returns a resource request in thousandths, rounded up.
@@ -45,7 +55,10 @@
 impl Resources {
     /// Returns whether these resources cover the requested ones.
     pub fn fits(&self, resources: &Resources) -> bool {
-        resources.cpus <= self.cpus && resources.gpus <= self.gpus && resources.ram <= self.ram
+        resources.cpus <= self.cpus
+            && resources.gpus <= self.gpus
+            && resources.ram <= self.ram
+            && resources.heartbeat_bytes <= self.heartbeat_bytes
     }
     /// Returns the difference, at least zero in each dimension.
     pub fn saturating_sub(&self, resources: &Resources) -> Resources {
@@ -53,6 +66,7 @@
             cpus: self.cpus.saturating_sub(resources.cpus),
             gpus: self.gpus.saturating_sub(resources.gpus),
             ram: self.ram.saturating_sub(resources.ram),
+            heartbeat_bytes: (self.heartbeat_bytes).saturating_sub(resources.heartbeat_bytes),
         }
     }
     /// Returns the sum.
@@ -61,6 +75,16 @@
             cpus: self.cpus.saturating_add(resources.cpus),
             gpus: self.gpus.saturating_add(resources.gpus),
             ram: self.ram.saturating_add(resources.ram),
+            heartbeat_bytes: (self.heartbeat_bytes).saturating_add(resources.heartbeat_bytes),
+        }
+    }
+    /// Returns, for each resource, the smaller amount.
+    pub fn component_min(&self, resources: &Resources) -> Resources {
+        Resources {
+            cpus: self.cpus.min(resources.cpus),
+            gpus: self.gpus.min(resources.gpus),
+            ram: self.ram.min(resources.ram),
+            heartbeat_bytes: self.heartbeat_bytes.min(resources.heartbeat_bytes),
         }
     }
     /// Returns the number of tasks with this resource request that fit.
@@ -70,6 +94,7 @@
         fitting(self.cpus, resources.cpus)
             .min(fitting(self.gpus, resources.gpus))
             .min(fitting(self.ram, resources.ram))
+            .min(fitting(self.heartbeat_bytes, resources.heartbeat_bytes))
     }
 }
 
@@ -108,6 +133,13 @@
 }
 
 impl JobSpec {
+    /// Returns what one of its tasks takes of a machine: its resources and its entry in heartbeats.
+    pub fn task_request(&self) -> Resources {
+        Resources {
+            heartbeat_bytes: heartbeat_task_bytes(&self.id),
+            ..self.resources
+        }
+    }
     /// Returns whether tasks of the job may run on a machine of this type, zone and pricing.
     pub fn allows(&self, type_name: &str, zone: &str, spot: bool) -> bool {
         (self.spot || !spot)
@@ -140,6 +172,16 @@
     pub zones: Vec<String>,
 }
 
+impl MachineType {
+    /// Returns what a machine of this type offers to tasks: its resources and the space in its heartbeats.
+    pub fn task_capacity(&self) -> Resources {
+        Resources {
+            heartbeat_bytes: HEARTBEAT_ASSIGNED_BYTES,
+            ..self.capacity
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
     pub name: String,
@@ -267,6 +309,11 @@
             sequence: self.sequence,
         }
     }
+    /// Returns the most bytes that the entries of its tasks take in a heartbeat.
+    pub fn task_bytes(&self) -> u64 {
+        let tasks = self.tasks.iter();
+        tasks.map(|task| heartbeat_task_bytes(&task.task.job)).sum()
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/core/src/provisioning/demand.rs
+++ b/crates/core/src/provisioning/demand.rs
@@ -65,13 +65,13 @@
     /// Assigns as many of the tasks to an instance as fit.
     fn assign_to(&mut self, instance: &mut PlannedInstance) {
         while self.count > 0
-            && instance.free.fits(&self.spec.resources)
+            && instance.free.fits(&self.spec.task_request())
             && self
                 .spec
                 .allows(&instance.type_name, &instance.zone, instance.spot)
             && remaining_zone_tasks(self.spec, &self.zone_spread, &instance.zone) > 0
         {
-            instance.free = instance.free.saturating_sub(&self.spec.resources);
+            instance.free = instance.free.saturating_sub(&self.spec.task_request());
             let zone = instance.zone.clone();
             *self.zone_spread.zones.entry(zone).or_default() += 1;
             self.count -= 1;
@@ -137,7 +137,7 @@
                 type_name: expected.type_name.to_string(),
                 zone: expected.zone.to_string(),
                 spot: expected.spot,
-                free: machine_type.capacity,
+                free: machine_type.task_capacity(),
             };
             instances.extend(std::iter::repeat_n(instance, expected.count as usize));
         }
@@ -199,7 +199,7 @@
                         type_name: machine_type.name.clone(),
                         zone: zone.clone(),
                         spot,
-                        free: machine_type.capacity,
+                        free: machine_type.task_capacity(),
                     };
                     let is_better = match &best {
                         None => true,
@@ -238,7 +238,9 @@
             .get(&offer_key(&machine_type.name, zone, spot))
             .is_some_and(|until| *until > self.wall_time);
         let allowed_in_zone = u64::from(remaining_zone_tasks(tasks.spec, &tasks.zone_spread, zone));
-        let fits = machine_type.capacity.max_tasks(&tasks.spec.resources);
+        let fits = machine_type
+            .task_capacity()
+            .max_tasks(&tasks.spec.task_request());
         let served_tasks = fits.min(tasks.count).min(allowed_in_zone);
         let is_offered = !is_refused
             && price.is_finite()
--- a/crates/core/src/provisioning/scale_in.rs
+++ b/crates/core/src/provisioning/scale_in.rs
@@ -130,7 +130,7 @@
             }
             if let Some(machine_type) = machine_types.get(&record.type_name) {
                 let free = machine_type
-                    .capacity
+                    .task_capacity()
                     .saturating_sub(&cache.used_resources(id));
                 machines.insert(id, MigrationTarget { record, free });
             }
--- a/crates/core/src/scheduling/candidates.rs
+++ b/crates/core/src/scheduling/candidates.rs
@@ -56,11 +56,7 @@
 /// none of them.
 pub fn min_request(work: &[PendingWork]) -> Resources {
     let requests = work.iter().map(|work| work.resources);
-    let min = requests.reduce(|a, b| Resources {
-        cpus: a.cpus.min(b.cpus),
-        gpus: a.gpus.min(b.gpus),
-        ram: a.ram.min(b.ram),
-    });
+    let min = requests.reduce(|a, b| a.component_min(&b));
     min.unwrap_or_default()
 }
 
--- a/crates/core/src/scheduling/claims.rs
+++ b/crates/core/src/scheduling/claims.rs
@@ -3,11 +3,13 @@
 //! Assignments are stored in the task's chunk, so one put claims or releases any number of a chunk's tasks. A
 //! claim is conditional on the job, which refuses it if cancelled meanwhile, on the chunk, and on the machine's
 //! record. If the team has a limit, the claim is also conditional on the team's record and writes it, so that no
-//! other claim can come in between and the usage is exact.
+//! other claim can come in between and the usage is exact. A claim for a machine with many tasks writes the
+//! machine's record in the same way, so that concurrent claims do not exceed what its heartbeats can list.
 
 use crate::constants::{
     ASSIGNMENT_BYTES, CHUNK_BASE_BYTES, FAULTY_JOB_MIN_MACHINES, FAULTY_MACHINE_MIN_JOBS,
-    MACHINE_FAULTS_MAX, SMALL_RECORD_BYTES, TASK_BACKOFF_MAX_MS, TASK_BACKOFF_MS,
+    HEARTBEAT_ASSIGNED_BYTES, MACHINE_FAULTS_MAX, SMALL_RECORD_BYTES, TASK_BACKOFF_MAX_MS,
+    TASK_BACKOFF_MS,
 };
 use crate::model::{DirectStart, JobKind, JobSpec, Resources, TaskId, Team, WallMs};
 use crate::settings::Settings;
@@ -29,7 +31,8 @@
     Blocked,
     /// The task is not pending.
     TaskNotPending,
-    /// The machine is not up, lacks resources for the task, or still holds an attempt of it.
+    /// The machine is not up, lacks resources or space in its heartbeats for the task, or still holds an attempt
+    /// of it.
     MachineUnavailable,
     /// The job's zone or machine type rules exclude the machine.
     MachineExcluded,
@@ -159,6 +162,11 @@
     if !within_limit(team, &draft.usage(&spec.team), &spec.resources) {
         return Err(Refusal::TeamLimit);
     }
+    if claim.excludes_concurrent_claims(settings)
+        && claim.max_changes(team) > settings.max_transaction_changes
+    {
+        return Err(Refusal::MachineUnavailable);
+    }
     if !claim.fits_transaction(draft, settings, team) {
         return Err(Refusal::TransactionFull);
     }
@@ -230,7 +238,7 @@
         }
         // The worker may refuse an attempt as `in_use` while it still lists an older attempt of the same task.
         let is_assigned_there = cache.assignment(self.request.machine, task).is_some();
-        if !self.request.free.fits(&spec.resources) || is_assigned_there {
+        if !self.request.free.fits(&spec.task_request()) || is_assigned_there {
             return Err(Refusal::MachineUnavailable);
         }
         if spec.zone_affinity || spec.topology_spread {
@@ -242,6 +250,25 @@
         Ok(())
     }
 
+    /// Returns whether the claim must conflict with concurrent claims of other controllers for the same machine.
+    /// Below this number of tasks, claims of all controllers together cannot exceed what heartbeats may list.
+    fn excludes_concurrent_claims(&self, settings: &Settings) -> bool {
+        let free_bytes = self.request.free.heartbeat_bytes;
+        let used_bytes = HEARTBEAT_ASSIGNED_BYTES.saturating_sub(free_bytes)
+            + self.spec.task_request().heartbeat_bytes;
+        let controllers = settings.controllers.len().max(1) as u64;
+        used_bytes > HEARTBEAT_ASSIGNED_BYTES / controllers
+    }
+
+    /// Returns the number of changes of an exclusive claim in an empty transaction.
+    fn max_changes(&self, team: &Team) -> usize {
+        let (chunk, machine) = (1, 1);
+        chunk
+            + machine
+            + usize::from(has_limit(team))
+            + usize::from(records_zone_spread(self.spec, self.job))
+    }
+
     /// Returns whether the transaction has space for the claim.
     fn fits_transaction(
         &self,
@@ -249,10 +276,15 @@
         settings: &Settings,
         team: &Team,
     ) -> bool {
-        let (job_id, bytes) = (&self.request.task.job, self.assignment_bytes());
+        let machine_key = Key::Machine(self.request.machine.to_string());
+        let adds_machine =
+            self.excludes_concurrent_claims(settings) && !draft.has_change(&machine_key);
+        let machine_changes = usize::from(adds_machine);
+        let bytes = self.assignment_bytes() + machine_changes * SMALL_RECORD_BYTES;
         if draft.has_change(&self.chunk_key()) {
-            return draft.has_room(settings, 0, 1, bytes);
+            return draft.has_room(settings, machine_changes, 1, bytes);
         }
+        let job_id = &self.request.task.job;
         // The records of its team and zone spread may be new to the draft as well.
         let adds_team = has_limit(team) && !draft.has_change(&Key::Team(self.spec.team.clone()));
         let adds_zone_spread = records_zone_spread(self.spec, self.job)
@@ -263,7 +295,7 @@
         let new_chunk_bytes = CHUNK_BASE_BYTES + self.job.tasks_per_chunk as usize * 4;
         draft.has_room(
             settings,
-            1 + usize::from(adds_team) + usize::from(adds_zone_spread),
+            1 + machine_changes + usize::from(adds_team) + usize::from(adds_zone_spread),
             6,
             known_chunk_bytes.max(new_chunk_bytes) + 2 * SMALL_RECORD_BYTES + bytes,
         )
@@ -283,6 +315,11 @@
         let attempt = draft.cache.claim_revision(&task.job, self.chunk_number);
         draft.add_condition(Key::Job(task.job.clone()));
         draft.add_condition(Key::Machine(machine.clone()));
+        if self.excludes_concurrent_claims(settings) {
+            let key = Key::Machine(machine.clone());
+            let record = draft.machine(&machine).ok_or(Refusal::MachineUnavailable)?;
+            draft.put(key, Record::Machine(record));
+        }
         if settings.checks.configuration_conditions {
             draft.add_condition_at_revision(Key::Configuration, settings.policy.mod_revision);
         }
--- a/crates/core/src/scheduling/migration_step.rs
+++ b/crates/core/src/scheduling/migration_step.rs
@@ -184,7 +184,7 @@
                 id,
                 record,
                 free: machine_type
-                    .capacity
+                    .task_capacity()
                     .saturating_sub(&self.cache.used_resources(id)),
             });
         }
@@ -239,7 +239,7 @@
     /// Returns the seconds that a machine takes to fetch a job's image, or `None` if it can't take a task of the job.
     fn fetch_s_if_fitting(&self, machine: &FreeMachine, spec: &JobSpec) -> Option<f64> {
         let record = machine.record;
-        let fits = machine.free.fits(&spec.resources)
+        let fits = machine.free.fits(&spec.task_request())
             && spec.allows(&record.type_name, &record.zone, record.spot);
         fits.then(|| match self.cache.has_image(machine.id, &spec.image) {
             true => 0.0,
--- a/crates/core/src/scheduling/pass.rs
+++ b/crates/core/src/scheduling/pass.rs
@@ -110,8 +110,8 @@
             let Some(machine_type) = self.machine_types.get(&record.type_name) else {
                 continue;
             };
-            let free = machine_type
-                .capacity
+            let mut free = machine_type
+                .task_capacity()
                 .saturating_sub(&self.cache.used_resources(id));
             if free.cpus == 0
                 || free.ram == 0
@@ -121,8 +121,7 @@
                 continue;
             }
             // During a burst most machines have too little free for any of the work.
-            let fits = free.fits(&min);
-            if !fits && record.spot {
+            if record.spot && !free.fits(&min) {
                 continue;
             }
             let liveness = self.liveness(id);
@@ -131,7 +130,10 @@
             {
                 continue;
             }
-            if !fits {
+            if liveness.reports_here() {
+                free.heartbeat_bytes = free.heartbeat_bytes.min(self.heartbeat_space(id));
+            }
+            if !free.fits(&min) {
                 machines.push(Candidate::full(id, record, free));
                 continue;
             }
--- a/crates/core/src/scheduling/pending_work.rs
+++ b/crates/core/src/scheduling/pending_work.rs
@@ -63,7 +63,7 @@
         let ready_at = cache.ready_at(job);
         PendingWork {
             job: id.to_string(),
-            resources: spec.resources,
+            resources: spec.task_request(),
             image: spec.image.clone(),
             urgency: Urgency {
                 priority: Reverse(spec.priority),
--- a/crates/core/src/scheduling/preemption.rs
+++ b/crates/core/src/scheduling/preemption.rs
@@ -116,7 +116,7 @@
 
     /// Counts one of its tasks as placed on a machine.
     fn assign(&mut self, machine: &mut PreemptionTarget) {
-        machine.available = machine.available.saturating_sub(&self.spec.resources);
+        machine.available = machine.available.saturating_sub(&self.spec.task_request());
         let zone = machine.record.zone.clone();
         *self.zone_spread.zones.entry(zone).or_default() += 1;
     }
@@ -168,9 +168,9 @@
             }
         }
         tasks += machine_type
-            .capacity
+            .task_capacity()
             .saturating_sub(&retained)
-            .max_tasks(&spec.resources);
+            .max_tasks(&spec.task_request());
     }
     tasks
 }
@@ -232,7 +232,7 @@
                 .get(&record.type_name)
                 .filter(|_| record.phase == MachinePhase::Up && (context.is_usable)(id));
             if let Some(machine_type) = machine_type {
-                plan.add_machine(id, record, machine_type.capacity, context);
+                plan.add_machine(id, record, machine_type.task_capacity(), context);
             }
         }
         for (team, cpus) in &mut plan.borrowed {
@@ -303,11 +303,11 @@
     /// stopping victims.
     fn preempt_for(&mut self, mut preemptor: Preemptor) {
         let tasks = preemptor.work.indices.len().min(PREEMPT_MAX_TASKS);
-        let resources = &preemptor.spec.resources;
+        let request = preemptor.spec.task_request();
         for _ in 0..tasks {
             let available = self.machines.iter_mut().find(|machine| {
                 preemptor.may_run_on(&self.view, machine)
-                    && machine.available_to(&preemptor).fits(resources)
+                    && machine.available_to(&preemptor).fits(&request)
             });
             if let Some(machine) = available {
                 preemptor.assign(machine);
@@ -391,7 +391,7 @@
         available = available.saturating_add(&victim.resources);
         cost.wasted_ms = cost.wasted_ms.saturating_add(victim.wasted_ms);
         cost.victims += 1;
-        if available.fits(&preemptor.spec.resources) {
+        if available.fits(&preemptor.spec.task_request()) {
             return Some(cost);
         }
     }
--- a/crates/core/src/state/cache/assignments.rs
+++ b/crates/core/src/state/cache/assignments.rs
@@ -2,7 +2,7 @@
 //! per team, and task counts per job.
 
 use super::StateCache;
-use crate::model::{Resources, TaskId};
+use crate::model::{heartbeat_task_bytes, Resources, TaskId};
 use crate::state::{Assignment, ChunkRecord, TeamRecord};
 use std::collections::BTreeMap;
 
@@ -18,7 +18,7 @@
 pub struct AssignedTask {
     /// The assignment on record.
     pub assignment: Assignment,
-    /// Resources that the task uses.
+    /// What the task takes of its machine, its entry in heartbeats included.
     pub resources: Resources,
 }
 
@@ -43,6 +43,14 @@
     })
 }
 
+/// Returns what a task of a chunk takes of its machine.
+fn task_resources(job: &str, chunk: &ChunkRecord) -> Resources {
+    Resources {
+        heartbeat_bytes: heartbeat_task_bytes(job),
+        ..chunk.resources
+    }
+}
+
 impl StateCache {
     /// Returns the jobs with chunks on record, in any phase, and their task counts.
     pub fn task_counts_by_job(&self) -> impl Iterator<Item = (&str, TaskCounts)> {
@@ -135,11 +143,12 @@
         assignment: &Assignment,
         chunk: &ChunkRecord,
     ) {
+        let resources = task_resources(job, chunk);
         let job = job.to_string();
         let task = TaskId { job, index };
         if let Some(assigned) = self.assigned.get_mut(&assignment.machine) {
             assigned.tasks.remove(&task);
-            assigned.used = assigned.used.saturating_sub(&chunk.resources);
+            assigned.used = assigned.used.saturating_sub(&resources);
             if assigned.tasks.is_empty() {
                 self.assigned.remove(&assignment.machine);
             }
@@ -157,7 +166,7 @@
         assignment: &Assignment,
         chunk: &ChunkRecord,
     ) {
-        let resources = chunk.resources;
+        let resources = task_resources(job, chunk);
         let task = TaskId {
             job: job.to_string(),
             index,
--- a/crates/core/src/workers/heartbeats.rs
+++ b/crates/core/src/workers/heartbeats.rs
@@ -1,6 +1,8 @@
 //! Worker heartbeats: the controller drops, replies to, holds or redirects each one.
 
-use crate::constants::{HEARTBEAT_REPLY_MAX_DELAY_MS, WORKER_FAILOVER_MS, WORKER_HANDOFF_MS};
+use crate::constants::{
+    HEARTBEAT_ASSIGNED_BYTES, HEARTBEAT_REPLY_MAX_DELAY_MS, WORKER_FAILOVER_MS, WORKER_HANDOFF_MS,
+};
 use crate::controller::{Controller, Effect, RequestId, WorkerReply};
 use crate::model::{HeartbeatPosition, Millis, WorkerHeartbeat};
 use crate::workers::registry::ReceivedHeartbeat;
@@ -37,7 +39,7 @@
     ) {
         self.metrics.heartbeats += 1;
         let position = heartbeat.position();
-        let now = self.now;
+        let (now, task_bytes) = (self.now, heartbeat.task_bytes());
         if self.settings.checks.duplicate_heartbeats
             && self.liveness(&heartbeat.machine).has_received(position)
         {
@@ -49,9 +51,13 @@
         }
         self.detect_unreachable_worker(&heartbeat);
         match self.workers.last_heartbeats.get_mut(&heartbeat.machine) {
-            Some(last) => (last.at, last.position) = (now, position),
+            Some(last) => (last.at, last.position, last.task_bytes) = (now, position, task_bytes),
             None => {
-                let received = ReceivedHeartbeat { at: now, position };
+                let received = ReceivedHeartbeat {
+                    at: now,
+                    position,
+                    task_bytes,
+                };
                 self.workers
                     .last_heartbeats
                     .insert(heartbeat.machine.clone(), received);
@@ -116,6 +122,15 @@
         }
     }
 
+    /// Returns how many bytes of further task entries the heartbeats of a machine that reports here can take:
+    /// they may list all tasks of the last one, in addition to all that are assigned.
+    pub(crate) fn heartbeat_space(&self, id: &str) -> u64 {
+        let last = self.workers.last_heartbeats.get(id);
+        let listed_bytes = last.map_or(0, |last| last.task_bytes);
+        let assigned_bytes = self.cache.used_resources(id).heartbeat_bytes;
+        (2 * HEARTBEAT_ASSIGNED_BYTES).saturating_sub(listed_bytes + assigned_bytes)
+    }
+
     /// Detects machines that send heartbeats but receive no replies. Such a machine keeps
     /// reporting, and seems to be free once its lease has ended, so its heartbeats alone are no reason to
     /// place work there. It counts as unreachable until it responds to a probe
--- a/crates/core/src/workers/reconciliation.rs
+++ b/crates/core/src/workers/reconciliation.rs
@@ -125,6 +125,10 @@
     /// missing from the response proves nothing: unlike a heartbeat, the response may overtake the
     /// reply to a heartbeat and a start in that reply.
     pub(crate) fn process_command_response(&mut self, heartbeat: &WorkerHeartbeat) {
+        let last = self.workers.last_heartbeats.get_mut(&heartbeat.machine);
+        if let Some(last) = last.filter(|last| last.position < heartbeat.position()) {
+            last.task_bytes = heartbeat.task_bytes();
+        }
         let mut reported = BTreeSet::new();
         for status in &heartbeat.tasks {
             let assigned = self.cache.assignment(&heartbeat.machine, &status.task);
--- a/crates/core/src/workers/registry.rs
+++ b/crates/core/src/workers/registry.rs
@@ -15,6 +15,8 @@
 pub(crate) struct ReceivedHeartbeat {
     pub at: Millis,
     pub position: HeartbeatPosition,
+    /// Bytes of the entries of all tasks that it lists, or that a later response to a command lists.
+    pub task_bytes: u64,
 }
 
 /// Machines that were deleted recently, so that a late heartbeat does not add them again.
--- a/crates/core/src/zones/evacuation.rs
+++ b/crates/core/src/zones/evacuation.rs
@@ -60,7 +60,7 @@
                 spot,
                 resources,
             } = capacity;
-            resources.fits(&spec.resources)
+            resources.fits(&spec.task_request())
                 && spec.allows(machine_type, zone, *spot)
                 && zone != present_zone
                 && claims::remaining_zone_tasks(spec, spread, zone) > 0
@@ -70,12 +70,12 @@
             return None;
         };
         let capacity = &mut self.free[index];
-        capacity.resources = capacity.resources.saturating_sub(&spec.resources);
+        capacity.resources = capacity.resources.saturating_sub(&spec.task_request());
         *spread.zones.entry(capacity.zone.clone()).or_default() += 1;
         Some(Reservation {
             job: job.to_string(),
             index,
-            resources: spec.resources,
+            resources: spec.task_request(),
         })
     }
 
@@ -367,7 +367,7 @@
                 continue;
             };
             let resources = machine_type
-                .capacity
+                .task_capacity()
                 .saturating_sub(&self.cache.used_resources(id));
             if resources.cpus > 0 && !self.workers.marked_for_termination.contains_key(id) {
                 free.push(FreeCapacity {
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -11,6 +11,7 @@
 mod failover;
 mod failover_under_load;
 mod guard_harness;
+mod heartbeat_limits;
 mod message_faults;
 mod one_way_partitions;
 mod placement;
--- a/crates/core/tests/scenarios/requests.rs
+++ b/crates/core/tests/scenarios/requests.rs
@@ -213,6 +213,7 @@
                     cpus: 64_000,
                     gpus: 0,
                     ram: 1_000,
+                    ..Resources::default()
                 },
                 ..job("j-91", 1)
             };
--- a/crates/core/tests/scenarios/rescheduling.rs
+++ b/crates/core/tests/scenarios/rescheduling.rs
@@ -56,6 +56,7 @@
         cpus,
         gpus: 0,
         ram: 1_000,
+        ..Resources::default()
     };
     for n in 0..2 {
         let spec = JobSpec {
--- a/crates/core/tests/scenarios/runtime_estimates.rs
+++ b/crates/core/tests/scenarios/runtime_estimates.rs
@@ -258,6 +258,7 @@
             cpus: 4_000,
             gpus: 0,
             ram: 1_000,
+            ..Resources::default()
         },
         priority: JobPriority::Low,
         ..of_class("j-1", 1, "long")
@@ -394,6 +395,7 @@
             cpus: 4_000,
             gpus: 0,
             ram: 1_000,
+            ..Resources::default()
         },
         ..of_class(id, 2, "long")
     };
@@ -436,6 +438,7 @@
                 cpus: 4_000,
                 gpus: 0,
                 ram: 1_000,
+                ..Resources::default()
             },
             deadline_s: Some(deadline_s),
             ..of_class(id, 1, class)
--- a/crates/ctl/tests/config.rs
+++ b/crates/ctl/tests/config.rs
@@ -195,6 +195,7 @@
             cpus: 2_000,
             gpus: 0,
             ram: 1_000,
+            ..Resources::default()
         },
         image: "i".into(),
         image_gb: 1.0,
--- a/crates/glenmount/src/wire/cloud.rs
+++ b/crates/glenmount/src/wire/cloud.rs
@@ -55,6 +55,7 @@
                 cpus: floor_milli(self.cpus),
                 gpus: floor_milli(self.gpus),
                 ram: floor_milli(self.ram_gb),
+                ..Resources::default()
             },
             cache_gb: self.image_cache_gb,
             fetch_gb_per_s: self.image_pull_gb_per_s,
--- a/crates/glenmount/src/wire/tests.rs
+++ b/crates/glenmount/src/wire/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of reading and writing the published messages.
 
 use super::{read_heartbeat, read_submission, write_command, write_user_reply, write_worker_reply};
+use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::controller::{UserReply, WorkerReply};
 use glenmount_core::model::{ExitCause, JobPriority, JobState, TaskId, TaskPhase, WorkerCommand};
 use serde_json::{json, Value};
@@ -188,3 +189,22 @@
         assert!(error.starts_with(field), "{error}");
     }
 }
+
+/// Heartbeats with more than 1,000 tasks were rejected although they kept the size limit of a request body. The
+/// machine's lease expired, and all its tasks were killed.
+#[test]
+fn heartbeat_may_list_as_many_tasks_as_fit_into_a_request_body() {
+    let drops: Vec<Value> = (0..1_300)
+        .map(|n| json!({"drop":format!("j-1/{n}"),"try":1,"standing":"running"}))
+        .collect();
+    let body = json!({"host":"n-1","address":"10.1.0.2:9000","flavour":"g8","yard":"a",
+        "reclaimable":true,"tenure":1,"tally":88,"fence":41,"drops":drops})
+    .to_string();
+    assert!(
+        body.len() as u64 <= REQUEST_BODY_MAX_BYTES,
+        "{}",
+        body.len()
+    );
+    let heartbeat = read_heartbeat(body.as_bytes()).unwrap();
+    assert_eq!(heartbeat.tasks.len(), 1_300);
+}
--- a/crates/glenmount/src/wire/users.rs
+++ b/crates/glenmount/src/wire/users.rs
@@ -134,6 +134,7 @@
             cpus: ceil_milli(positive("vcpus", self.cpus)?),
             gpus: ceil_milli(not_negative("accelerators", self.gpus)?),
             ram: ceil_milli(positive("ramGb", self.ram_gb)?),
+            ..Resources::default()
         })
     }
 
--- a/crates/glenmount/src/wire/workers.rs
+++ b/crates/glenmount/src/wire/workers.rs
@@ -1,7 +1,7 @@
 //! Messages between workers and the controller: heartbeats, replies to them and direct commands.
 
 use super::{to_json, ErrorBody, Reply, MAX_TEXT_BYTES};
-use glenmount_core::constants::{HEARTBEAT_MAX_TASKS, MAX_INCARNATION, MAX_SEQUENCE};
+use glenmount_core::constants::{MAX_INCARNATION, MAX_SEQUENCE};
 use glenmount_core::controller::WorkerReply;
 use glenmount_core::model::{
     ExitCause, TaskId, TaskPhase, TaskStatus, WorkerCommand, WorkerHeartbeat,
@@ -26,8 +26,6 @@
     Sequence(u64),
     #[error("flavour or yard is too long")]
     Placement,
-    #[error("too many drops")]
-    TooManyTasks,
     #[error("a drop is malformed")]
     MalformedTask,
 }
@@ -111,9 +109,6 @@
         if self.machine_type.len() > MAX_TEXT_BYTES || self.zone.len() > MAX_TEXT_BYTES {
             return Err(HeartbeatError::Placement);
         }
-        if self.tasks.len() > HEARTBEAT_MAX_TASKS {
-            return Err(HeartbeatError::TooManyTasks);
-        }
         Ok(())
     }
 }
--- a/crates/simulation/src/day_runner/submissions.rs
+++ b/crates/simulation/src/day_runner/submissions.rs
@@ -27,6 +27,7 @@
             cpus: (class.cpus * 1e3) as u64,
             gpus: 0,
             ram: (class.cpus * 2e3) as u64,
+            ..Resources::default()
         },
         image: String::new(),
         image_gb: 1.2,
--- a/crates/simulation/src/fixtures.rs
+++ b/crates/simulation/src/fixtures.rs
@@ -74,6 +74,7 @@
             cpus: 2_000,
             gpus: 0,
             ram: 1_000,
+            ..Resources::default()
         },
         image: "img".into(),
         image_gb: 1.0,
@@ -133,6 +134,7 @@
             cpus: cpus * 1_000,
             gpus: 0,
             ram: cpus * 4_000,
+            ..Resources::default()
         },
         cache_gb: 20.0,
         fetch_gb_per_s: 1.0,
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -19,6 +19,7 @@
 mod fixtures;
 mod follow_ups;
 mod invariants;
+mod message_sizes;
 mod metrics;
 mod network;
 pub mod operator;
--- a/crates/simulation/src/metrics.rs
+++ b/crates/simulation/src/metrics.rs
@@ -16,6 +16,12 @@
     pub stops: BTreeMap<String, (u32, u64)>,
     /// Number of tasks killed because their worker's lease expired.
     pub killed_by_lease: u32,
+    /// Number of workers' heartbeats that exceeded the protocol's size limit.
+    pub oversized_heartbeats: u32,
+    /// Number of direct commands and of replies to heartbeats that exceeded the protocol's size limit.
+    pub oversized_commands: u32,
+    /// Size in bytes of the largest heartbeat of a worker.
+    pub largest_worker_heartbeat_bytes: usize,
     /// Time at which the first task of each job ran.
     pub first_run_ms: HashMap<String, u64>,
     /// Start of the run of each task attempt.
--- a/crates/simulation/src/workers/heartbeats.rs
+++ b/crates/simulation/src/workers/heartbeats.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of workers to controllers, and the replies.
 
 use super::{HeartbeatReceipt, Worker};
+use crate::message_sizes::{heartbeat_bytes, is_oversized};
 use crate::{Action, Simulation};
 use glenmount_core::controller::{Event, WorkerReply};
 use glenmount_core::model::{TaskStatus, WorkerHeartbeat};
@@ -117,6 +118,15 @@
             worker.disconnected || worker.outbound_lost,
         );
         let heartbeat = self.heartbeat_of(name);
+        let bytes = heartbeat_bytes(&heartbeat);
+        self.metrics.largest_worker_heartbeat_bytes =
+            self.metrics.largest_worker_heartbeat_bytes.max(bytes);
+        if is_oversized(bytes) {
+            self.metrics.oversized_heartbeats += 1;
+            let worker = name.to_string();
+            self.schedule(1, Action::TimeOutHeartbeat { worker, serial });
+            return;
+        }
         let delivery = |heartbeat: WorkerHeartbeat| Action::DeliverHeartbeat {
             controller,
             heartbeat,
--- a/crates/simulation/src/workers/tasks.rs
+++ b/crates/simulation/src/workers/tasks.rs
@@ -26,7 +26,7 @@
 
 impl Simulation {
     /// Executes a command on a worker.
-    pub(crate) fn execute_command(&mut self, name: &str, command: WorkerCommand) {
+    pub fn execute_command(&mut self, name: &str, command: WorkerCommand) {
         match command {
             WorkerCommand::Start { task, attempt } => self.start_task(name, task, attempt),
             WorkerCommand::Stop { task, attempt, .. } => self.stop_task(name, task, attempt),
