A watch response that is too long leads to a new list

The log repeated `watch lagging, reopened` with the same revision.

Cause: a limit of 8 MiB on the reader's side only. The protocol says of a watch response that it holds all changes and has no size limit. The HTTP client reported the long body as no response, so that the watch asked for the same changes again, until the service had forgotten them (410).

Change: the client tells a body that is too long from no response. The watch treats it as 410: it reports a gap and all records are listed, in pages that the protocol bounds at 512 KiB. The limit stays, since 10,000 changes of the largest value are some 160 MB. A new line in the log says so.

Test: a_watch_response_that_is_too_long_leads_to_a_new_list, of 9 MiB; before the change it got "passed over", that is, the same request again.

--- a/crates/glenmount/src/cloud_client.rs
+++ b/crates/glenmount/src/cloud_client.rs
@@ -78,7 +78,7 @@
 async fn execute(http: &HttpClient, operation: &CloudOperation) -> Option<CloudResponse> {
     match operation {
         CloudOperation::Types => {
-            let response = http.get(wire::CATALOG_PATH, LIMITS).await?;
+            let response = http.get(wire::CATALOG_PATH, LIMITS).await.ok()?;
             wire::read_catalog(&ok_body(response)?).map(CloudResponse::Types)
         }
         CloudOperation::Provision {
@@ -99,12 +99,12 @@
         }
         CloudOperation::Delete { machines } => {
             let body = wire::deletion_request(machines);
-            let response = http.post(wire::DELETE_PATH, body, LIMITS).await?;
+            let response = http.post(wire::DELETE_PATH, body, LIMITS).await.ok()?;
             ok_body(response).map(|_| CloudResponse::Deleted)
         }
         CloudOperation::List { after } => {
             let path = wire::instances_page_path(after.as_deref());
-            let response = http.get(&path, LIMITS).await?;
+            let response = http.get(&path, LIMITS).await.ok()?;
             wire::read_instances(&ok_body(response)?)
         }
     }
@@ -115,7 +115,8 @@
     request: &wire::ProvisioningRequest<'_>,
 ) -> Option<CloudResponse> {
     let body = request.to_json();
-    let HttpResponse { status, body } = http.post(wire::INSTANCES_PATH, body, LIMITS).await?;
+    let response = http.post(wire::INSTANCES_PATH, body, LIMITS).await;
+    let HttpResponse { status, body } = response.ok()?;
     let text = String::from_utf8_lossy(&body);
     match status {
         200 => wire::read_provisioned(&body).map(CloudResponse::Provisioned),
--- a/crates/glenmount/src/http_client.rs
+++ b/crates/glenmount/src/http_client.rs
@@ -6,6 +6,7 @@
 use hyper::{Body, Client, Method, Request};
 use std::net::SocketAddr;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::time::timeout;
 
 /// Most idle connections that are kept open per address.
@@ -24,6 +25,17 @@
     Never,
 }
 
+/// The reason why there is no response to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum HttpError {
+    /// No whole response arrived in time.
+    #[error("no response")]
+    NoResponse,
+    /// A response arrived whose body exceeds the limit.
+    #[error("the response is too long")]
+    BodyTooLong,
+}
+
 /// A response with its whole body.
 pub struct HttpResponse {
     pub status: u16,
@@ -69,7 +81,7 @@
     }
 
     /// Sends a GET request; see [`HttpClient::call`].
-    pub async fn get(&self, path: &str, limits: ResponseLimits) -> Option<HttpResponse> {
+    pub async fn get(&self, path: &str, limits: ResponseLimits) -> Result<HttpResponse, HttpError> {
         self.call(Method::GET, path, None, limits).await
     }
 
@@ -79,19 +91,22 @@
         path: &str,
         json: String,
         limits: ResponseLimits,
-    ) -> Option<HttpResponse> {
+    ) -> Result<HttpResponse, HttpError> {
         self.call(Method::POST, path, Some(json), limits).await
     }
 
-    /// Sends a request and returns the response, or `None` if none came in time or its body was too long.
-    /// Without a response, the server may have executed the request or may still do so.
+    /// Sends a request and returns the response.
+    ///
+    /// # Errors
+    /// No whole response came in time, or its body was too long. In both cases the server may have executed the
+    /// request, and in the first it may still do so.
     async fn call(
         &self,
         method: Method,
         path: &str,
         json: Option<String>,
         limits: ResponseLimits,
-    ) -> Option<HttpResponse> {
+    ) -> Result<HttpResponse, HttpError> {
         let mut request = Request::builder()
             .method(method)
             .uri(format!("{}{}", self.base_url, path));
@@ -99,27 +114,30 @@
             request = request.header(CONTENT_TYPE, "application/json");
         }
         let body = json.map_or_else(Body::empty, Body::from);
-        let exchange = self.exchange(request.body(body).ok()?, limits.max_body_bytes);
-        timeout(limits.timeout, exchange).await.ok().flatten()
+        let request = request.body(body).map_err(|_| HttpError::NoResponse)?;
+        let exchange = self.exchange(request, limits.max_body_bytes);
+        let outcome = timeout(limits.timeout, exchange).await;
+        outcome.unwrap_or(Err(HttpError::NoResponse))
     }
 
     async fn exchange(
         &self,
         request: Request<Body>,
         max_body_bytes: usize,
-    ) -> Option<HttpResponse> {
-        let response = self.pool.request(request).await.ok()?;
+    ) -> Result<HttpResponse, HttpError> {
+        let no_response = |_| HttpError::NoResponse;
+        let response = self.pool.request(request).await.map_err(no_response)?;
         let status = response.status().as_u16();
         let mut body_stream = response.into_body();
         let mut body = Vec::new();
         while let Some(part) = body_stream.data().await {
-            let part = part.ok()?;
+            let part = part.map_err(no_response)?;
             if body.len() + part.len() > max_body_bytes {
-                return None;
+                return Err(HttpError::BodyTooLong);
             }
             body.extend_from_slice(&part);
         }
-        Some(HttpResponse { status, body })
+        Ok(HttpResponse { status, body })
     }
 }
 
--- a/crates/glenmount/src/state_client/exchange.rs
+++ b/crates/glenmount/src/state_client/exchange.rs
@@ -119,7 +119,7 @@
             http.get(&path, LIST_LIMITS).await
         }
     };
-    let Some(response) = response else {
+    let Ok(response) = response else {
         return Some(StateResponse::NoAnswer);
     };
     match response.status {
--- a/crates/glenmount/src/state_client/watch.rs
+++ b/crates/glenmount/src/state_client/watch.rs
@@ -1,6 +1,6 @@
 //! Follows the watch on all records in the state store.
 
-use crate::http_client::{HttpClient, HttpResponse, ResponseLimits};
+use crate::http_client::{HttpClient, HttpError, HttpResponse, ResponseLimits};
 use crate::timings::RECORDS_READ;
 use crate::wire::state_store as wire;
 use glenmount_core::constants::WATCH_POLL_TIMEOUT_MS;
@@ -61,11 +61,14 @@
             }
         };
         match response {
-            Some(HttpResponse { status: 200, body }) => self.send_changes(&body).await,
+            Ok(HttpResponse { status: 200, body }) => self.send_changes(&body).await,
             // The store has compacted away changes after this revision.
-            Some(HttpResponse { status: 410, .. }) => {
-                let _ = self.core.send(Event::WatchGap).await;
-                self.await_restart().await
+            Ok(HttpResponse { status: 410, .. }) => self.report_gap().await,
+            // The store would send the same changes again, and more. A list has pages of a bounded size.
+            Err(HttpError::BodyTooLong) => {
+                let (revision, max_bytes) = (self.revision, LIMITS.max_body_bytes);
+                tracing::warn!(revision, max_bytes, "watch response too long, listing anew");
+                self.report_gap().await
             }
             _ => {
                 sleep(RETRY_PAUSE).await;
@@ -74,6 +77,12 @@
         }
     }
 
+    /// Tells the core that changes are missing, and waits until it reopens the watch after a list.
+    async fn report_gap(&mut self) -> Result<(), Closed> {
+        let _ = self.core.send(Event::WatchGap).await;
+        self.await_restart().await
+    }
+
     async fn send_changes(&mut self, body: &[u8]) -> Result<(), Closed> {
         match RECORDS_READ.time(|| wire::read_changes(body)) {
             Ok((revision, changes)) => {
--- a/crates/glenmount/src/tests/state_forms.rs
+++ b/crates/glenmount/src/tests/state_forms.rs
@@ -163,3 +163,13 @@
     })
     .await;
 }
+
+/// A controller asked for the same changes again and again when they exceeded the size that it reads, and its cache stayed
+/// outdated until the store had forgotten them. The protocol sets no limit to a watch response.
+#[tokio::test]
+async fn a_watch_response_that_is_too_long_leads_to_a_new_list() {
+    let padding = " ".repeat(9 << 20);
+    let body: &'static str = format!("{padding}{{\"epoch\":43,\"news\":[]}}").leak();
+    let (_, outcome) = watch_once("200", body).await;
+    assert_eq!(outcome, "records to be listed anew");
+}
--- a/crates/glenmount/src/worker_client.rs
+++ b/crates/glenmount/src/worker_client.rs
@@ -132,7 +132,7 @@
     }
     let http = http.for_address(address);
     let response = http.post(COMMAND_PATH, command.body.clone(), LIMITS).await;
-    let Some(response) = response else {
+    let Ok(response) = response else {
         return Delivery::without_heartbeat(CommandOutcome::NoAnswer);
     };
     let heartbeat = || wire::read_heartbeat(&response.body).ok().map(Box::new);
