Error texts keep the limit of a response line, and oversized heartbeats are logged

What callers saw: "A response to workers and users must contain no line longer than 64 KiB." A submission or heartbeat of less than 64 KiB with a long text where a number or a flag belongs got 400 with a line of up to 120,080 bytes: the JSON reader's error quotes the value, with escapes, and the response escapes it once more. The same text went into the log.

Cause: the body's limit is checked where it is read, the line's limit nowhere where it is written.

--- a/crates/glenmount/src/http_server.rs
+++ b/crates/glenmount/src/http_server.rs
@@ -18,6 +18,8 @@
 
 /// Value of `Retry-After` in responses that refuse a request because the controller is overloaded.
 const BUSY_RETRY_AFTER_S: u32 = 1;
+/// Most bytes of an error's text in a response and in the log. The text may quote a value of the request.
+const ERROR_TEXT_MAX_BYTES: usize = 1_000;
 
 /// The core's reply to a request.
 pub enum CoreReply {
@@ -92,7 +94,7 @@
     async fn submit(&self, body: impl RequestBody) -> Response<Body> {
         let body = match read_body(body).await {
             Ok(body) => body,
-            Err(response) => return response,
+            Err(error) => return error_response(400, error.text()),
         };
         let spec = match MESSAGES_READ.time(|| wire::read_submission(&body)) {
             Ok(spec) => Box::new(spec),
@@ -123,15 +125,11 @@
     async fn heartbeat(&self, body: impl RequestBody) -> Response<Body> {
         let body = match read_body(body).await {
             Ok(body) => body,
-            Err(response) => return response,
+            Err(error) => return reject_heartbeat(error.text()),
         };
         let heartbeat = match MESSAGES_READ.time(|| wire::read_heartbeat(&body)) {
             Ok(heartbeat) => Box::new(heartbeat),
-            Err(error) => {
-                let reason = error.to_string();
-                tracing::error!(why = reason, "unreadable check-in");
-                return error_response(400, &reason);
-            }
+            Err(error) => return reject_heartbeat(&error.to_string()),
         };
         self.ask_core(|request| Event::WorkerHeartbeat { request, heartbeat })
             .await
@@ -182,11 +180,27 @@
 fn error_response(status: u16, message: &str) -> Response<Body> {
     json_response(
         status,
-        serde_json::json!({"error": message}).to_string(),
+        serde_json::json!({"error": shorten(message)}).to_string(),
         None,
     )
 }
 
+/// Rejects a worker's heartbeat. A machine whose heartbeats are all rejected loses its lease, so the log names the
+/// reason.
+fn reject_heartbeat(reason: &str) -> Response<Body> {
+    tracing::error!(why = shorten(reason), "unreadable check-in");
+    error_response(400, reason)
+}
+
+/// Returns the text, or its beginning if it is longer than `ERROR_TEXT_MAX_BYTES`.
+fn shorten(text: &str) -> &str {
+    let mut end = text.len().min(ERROR_TEXT_MAX_BYTES);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
 /// The stream of a request's body, read only for requests that have one.
 trait RequestBody: Stream<Item = Result<Self::Part, warp::Error>> + Send {
     type Part: Buf;
@@ -200,14 +214,31 @@
     type Part = B;
 }
 
-/// Reads the whole body. Fails with the response that refuses the request.
-async fn read_body(body: impl RequestBody) -> Result<Vec<u8>, Response<Body>> {
+/// The reason why a request's body was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyError {
+    BrokeOff,
+    TooLong,
+}
+
+impl BodyError {
+    /// Returns the text for the response.
+    fn text(self) -> &'static str {
+        match self {
+            BodyError::BrokeOff => "the body broke off",
+            BodyError::TooLong => "the body is longer than 64 KiB",
+        }
+    }
+}
+
+/// Reads the whole body.
+async fn read_body(body: impl RequestBody) -> Result<Vec<u8>, BodyError> {
     let mut body = pin!(body);
     let mut bytes = Vec::new();
     while let Some(part) = body.next().await {
-        let mut part = part.map_err(|_| error_response(400, "the body broke off"))?;
+        let mut part = part.map_err(|_| BodyError::BrokeOff)?;
         if bytes.len() + part.remaining() > REQUEST_BODY_MAX_BYTES as usize {
-            return Err(error_response(400, "the body is longer than 64 KiB"));
+            return Err(BodyError::TooLong);
         }
         while part.has_remaining() {
             let chunk = part.chunk();
--- a/crates/glenmount/src/tests/public_protocol.rs
+++ b/crates/glenmount/src/tests/public_protocol.rs
@@ -2,6 +2,7 @@
 
 use super::{check_lines, format_heartbeat, in_time};
 use crate::http_server::{routes, Api, CoreReply, PendingRequest};
+use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::controller::{Event, UserReply, WorkerReply};
 use glenmount_core::model::{JobState, TaskId, WorkerCommand};
 use std::sync::atomic::AtomicBool;
@@ -223,3 +224,24 @@
     })
     .await;
 }
+
+/// Error texts quote the value of a field that has the wrong type. Escaped twice, a value of 60 KB made a line of the
+/// response longer than the 64 KiB that the protocol allows.
+#[tokio::test]
+async fn an_error_that_quotes_a_long_value_keeps_the_limit_of_a_response_line() {
+    let quotes = r#"\""#.repeat(30_000);
+    for (path, body) in [
+        ("/v2/runs", format!("{{\"together\":\"{quotes}\"}}")),
+        ("/checkin", format!("{{\"tenure\":\"{quotes}\"}}")),
+    ] {
+        assert!(body.len() as u64 <= REQUEST_BODY_MAX_BYTES);
+        let request = ("POST", path, body.as_str());
+        let (event, response) = exchange(request, CoreBehavior::Drop, true).await;
+        assert!(event.is_none() && response.starts_with("400 "), "{path}");
+        assert!(
+            response.len() as u64 <= REQUEST_BODY_MAX_BYTES,
+            "{path}: {}",
+            response.len()
+        );
+    }
+}
