The images for a controller that has just started fit into a frame

What callers saw: nothing in the deployments of today. With thousands of machines, or long names of images, a controller that has just started receives a heartbeat of its peers larger than the 2 MiB that it reads. It closes the connection, the peer seems to be lost just then, and the images, for which the frame was that large, are not sent again: services start where the image must be fetched.

Cause: a limit that only the receiver of frames checked. The sender put the images of all machines into one heartbeat: 5,000 machines with 64 images each are 5,505,017 bytes.

Change: the sender leaves out machines beyond what the frame can carry beside the workers. Images are hints for placement, so that what is left out costs a fetch at most. The limit is one constant for both sides.

Seen by reading the code and in this test, not in a run of processes.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -158,6 +158,13 @@
 pub const SLOW_CONTROLLER_LOAD_DIVISOR: usize = 4;
 /// Limit of machines in a peer heartbeat, of about 60 bytes each, twice a second. A site has up to 5,000.
 pub const HEARTBEAT_MAX_MACHINES: usize = 20_000;
+/// Size limit of a frame with a peer heartbeat. A receiver closes the connection on a larger one.
+pub const PEER_FRAME_MAX_BYTES: usize = 2 * 1024 * 1024;
+/// Size of a peer heartbeat without its workers and images, with 100 controllers of the longest names.
+pub const PEER_HEARTBEAT_BASE_BYTES: usize = 32 * 1024;
+/// Size of a worker's entry in a peer heartbeat without the name of its machine, and an upper bound of the
+/// size of an image's entry and of a list's header without their names.
+pub const PEER_ENTRY_BYTES: usize = 33;
 /// Number of a silent peer's workers that must fail over to this controller before they count as evidence.
 pub const FAILOVER_WORKERS_MIN: usize = 3;
 /// One in this many of a silent peer's workers must fail over before they count as evidence.
--- a/crates/core/src/peers/failover.rs
+++ b/crates/core/src/peers/failover.rs
@@ -4,7 +4,10 @@
 //! claims, jobs, instance requests and deletions of the lost peer. Each step is a transaction on stored records,
 //! so it does no harm if two controllers take it, or if the peer is still running.
 
-use crate::constants::{FAILOVER_STAGGER_MS, STARTUP_PERIOD_MS, STATE_PROBE_INTERVAL_MS};
+use crate::constants::{
+    FAILOVER_STAGGER_MS, PEER_ENTRY_BYTES, PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES,
+    STARTUP_PERIOD_MS, STATE_PROBE_INTERVAL_MS,
+};
 use crate::controller::{Controller, ControllerStatus, Effect, HeardWorker, PeerHeartbeat};
 use crate::peers::status::{HeartbeatOutcome, PeerStatus, PeerStatusChange};
 use crate::state::formats;
@@ -131,7 +134,7 @@
             return;
         };
         self.plan_handoff();
-        let workers = self
+        let workers: Vec<HeardWorker> = self
             .workers
             .last_heartbeats
             .iter()
@@ -143,6 +146,8 @@
                 age_ms: self.now - h.at,
             })
             .collect();
+        let worker_bytes = workers.iter().map(|w| PEER_ENTRY_BYTES + w.machine.len());
+        let used_bytes = PEER_HEARTBEAT_BASE_BYTES + worker_bytes.sum::<usize>();
         let status = ControllerStatus {
             revision: self.cache.revision,
             term: self.cache.term().unwrap_or(0),
@@ -163,7 +168,10 @@
             workers,
             just_started: self.now - self.lifecycle.started_at < STARTUP_PERIOD_MS,
             cached_images: match includes_images {
-                true => self.cache.image_hints(),
+                true => {
+                    let max_bytes = PEER_FRAME_MAX_BYTES.saturating_sub(used_bytes);
+                    self.cache.image_hints(max_bytes)
+                }
                 false => Vec::new(),
             },
             status: includes_status.then_some(status),
--- a/crates/core/src/state/cache/images.rs
+++ b/crates/core/src/state/cache/images.rs
@@ -1,7 +1,7 @@
 //! Hints for placement: the images that each machine probably has in its cache.
 
 use super::StateCache;
-use crate::constants::{MACHINE_IMAGES_MAX, TRACKED_IMAGES_MAX};
+use crate::constants::{MACHINE_IMAGES_MAX, PEER_ENTRY_BYTES, TRACKED_IMAGES_MAX};
 use foldhash::HashMap;
 
 /// The images that machines have fetched. They are hints only, kept in memory: to record them in
@@ -88,19 +88,25 @@
         images.map_or(&[], |images| images)
     }
 
-    /// Returns all hints by machine: image names and sizes in GB, the most recently used image
-    /// last.
-    pub fn image_hints(&self) -> Vec<(String, Vec<(String, f64)>)> {
+    /// Returns the hints by machine, of as many machines as a peer heartbeat can carry in `max_bytes`: image
+    /// names and sizes in GB, the most recently used image last.
+    pub fn image_hints(&self, max_bytes: usize) -> Vec<(String, Vec<(String, f64)>)> {
         let ids = self.images.ids.iter();
         let names: HashMap<u32, &String> = ids.map(|(image, id)| (*id, image)).collect();
         let with_name = |(id, gb): &(u32, f64)| Some(((*names.get(id)?).clone(), *gb));
+        let mut bytes = 0;
         self.images
             .by_machine
             .iter()
             .map(|(machine, images)| {
-                let images = images.iter().filter_map(with_name).collect();
+                let images: Vec<(String, f64)> = images.iter().filter_map(with_name).collect();
                 (machine.clone(), images)
             })
+            .take_while(|(machine, images)| {
+                let image_bytes = images.iter().map(|(name, _)| PEER_ENTRY_BYTES + name.len());
+                bytes += PEER_ENTRY_BYTES + machine.len() + image_bytes.sum::<usize>();
+                bytes <= max_bytes
+            })
             .collect()
     }
 
--- a/crates/glenmount/src/peer_link/mod.rs
+++ b/crates/glenmount/src/peer_link/mod.rs
@@ -7,7 +7,7 @@
 use crate::timings::PEER_FRAMES;
 use connections::{PeerConnection, PeerConnections};
 use frames::read_heartbeat;
-use glenmount_core::constants::PEER_HEARTBEAT_INTERVAL_MS;
+use glenmount_core::constants::{PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_INTERVAL_MS};
 use glenmount_core::controller::{Event, PeerHeartbeat};
 use std::io;
 use std::net::SocketAddr;
@@ -18,8 +18,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Duration};
 
-/// Size limit of a frame: about 1,000 machines with 64 images each.
-const MAX_FRAME_BYTES: u32 = 2 * 1024 * 1024;
 /// Time without a frame after which the connection of a peer is closed.
 const READ_TIMEOUT: Duration = Duration::from_millis(PEER_HEARTBEAT_INTERVAL_MS * 20);
 /// Timeout of connecting to a peer and of sending a frame.
@@ -87,7 +85,7 @@
 
 async fn read_frame(stream: &mut TcpStream) -> io::Result<Vec<u8>> {
     let length_bytes = timeout(READ_TIMEOUT, stream.read_u32()).await??;
-    if length_bytes > MAX_FRAME_BYTES {
+    if length_bytes as usize > PEER_FRAME_MAX_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
     }
     let mut frame = vec![0; length_bytes as usize];
--- a/crates/glenmount/src/peer_link/tests.rs
+++ b/crates/glenmount/src/peer_link/tests.rs
@@ -2,7 +2,9 @@
 
 use super::frames::read_heartbeat;
 use super::{receive_heartbeats, send_heartbeats};
+use glenmount_core::constants::{PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES};
 use glenmount_core::controller::{ControllerStatus, Event, PeerHeartbeat};
+use glenmount_core::state::{Key, MachinePhase, MachineRecord, Record, StateCache};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -131,3 +133,31 @@
         .await
         .expect("the end is reported");
 }
+
+/// With thousands of machines the images for a controller that had just started made a frame larger than its receivers
+/// read. They closed the connection, and the sender seemed to have failed just when the other was starting.
+#[test]
+fn the_images_of_thousands_of_machines_fit_into_a_frame() {
+    let mut cache = StateCache::default();
+    let images: Vec<(String, f64)> = (0..64).map(|n| (format!("img-{n:02}"), 1.5)).collect();
+    let hints: Vec<_> = (0..5_000)
+        .map(|n| (format!("n-{n:06}"), images.clone()))
+        .collect();
+    for (revision, (machine, _)) in (1..).zip(&hints) {
+        let record = MachineRecord::new("g8", "a", true, MachinePhase::Up, 0);
+        cache.put(
+            Key::Machine(machine.clone()),
+            revision,
+            Record::Machine(record),
+        );
+    }
+    cache.merge_image_hints(&hints);
+    let max_bytes = PEER_FRAME_MAX_BYTES - PEER_HEARTBEAT_BASE_BYTES;
+    let heartbeat = PeerHeartbeat {
+        cached_images: cache.image_hints(max_bytes),
+        ..heartbeat("bothy-1")
+    };
+    let frame = rmp_serde::to_vec(&heartbeat).unwrap();
+    assert!(frame.len() <= PEER_FRAME_MAX_BYTES, "{} bytes", frame.len());
+    assert!(heartbeat.cached_images.len() > 500);
+}
