Releases and the sizes of messages in modules of their own

Change: moves only. scheduling/claims.rs -> scheduling/releases.rs: AttemptOutcome, max_release_changes, release, pause_after_failure, update_machine_faults, add_fault. constants.rs -> constants/messages.rs: limits of messages and the sizes of their parts. Imports follow.

--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -1,6 +1,6 @@
 //! The domain model: jobs, tasks, machines, machine types, heartbeats and commands.
 
-use crate::constants::{HEARTBEAT_ASSIGNED_BYTES, HEARTBEAT_TASK_BYTES};
+use crate::constants::messages::{HEARTBEAT_ASSIGNED_BYTES, HEARTBEAT_TASK_BYTES};
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds of the monotonic clock since the start of the process.
--- a/crates/core/src/peers/failover.rs
+++ b/crates/core/src/peers/failover.rs
@@ -4,10 +4,10 @@
 //! claims, jobs, instance requests and deletions of the lost peer. Each step is a transaction on stored records,
 //! so it does no harm if two controllers take it, or if the peer is still running.
 
-use crate::constants::{
-    FAILOVER_STAGGER_MS, PEER_ENTRY_BYTES, PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES,
-    STARTUP_PERIOD_MS, STATE_PROBE_INTERVAL_MS,
+use crate::constants::messages::{
+    PEER_ENTRY_BYTES, PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES,
 };
+use crate::constants::{FAILOVER_STAGGER_MS, STARTUP_PERIOD_MS, STATE_PROBE_INTERVAL_MS};
 use crate::controller::{Controller, ControllerStatus, Effect, HeardWorker, PeerHeartbeat};
 use crate::peers::status::{HeartbeatOutcome, PeerStatus, PeerStatusChange};
 use crate::state::formats;
--- a/crates/core/src/peers/tracker.rs
+++ b/crates/core/src/peers/tracker.rs
@@ -9,10 +9,10 @@
 use super::heartbeat_intervals::HeartbeatIntervals;
 use super::peer::{Peer, PeerObservation};
 use super::status::{HeartbeatOutcome, PeerStatus, RejectedHeartbeat};
+use crate::constants::messages::HEARTBEAT_MAX_MACHINES;
 use crate::constants::{
-    CLOCK_TICK_MS, HEARTBEAT_INTERVAL_WEIGHT, HEARTBEAT_MAX_AGE_MS, HEARTBEAT_MAX_MACHINES,
-    METRICS_INTERVAL_MS, PAUSE_DETECTION_MS, PEER_HEARTBEAT_EXPIRY_MS, PEER_HEARTBEAT_INTERVAL_MS,
-    WORKER_FAILOVER_MS,
+    CLOCK_TICK_MS, HEARTBEAT_INTERVAL_WEIGHT, HEARTBEAT_MAX_AGE_MS, METRICS_INTERVAL_MS,
+    PAUSE_DETECTION_MS, PEER_HEARTBEAT_EXPIRY_MS, PEER_HEARTBEAT_INTERVAL_MS, WORKER_FAILOVER_MS,
 };
 use crate::controller::{ControllerStatus, HeardWorker, PeerHeartbeat};
 use crate::model::{Millis, WallMs};
--- a/crates/core/src/run_times.rs
+++ b/crates/core/src/run_times.rs
@@ -13,7 +13,7 @@
 };
 use crate::controller::{Controller, PendingOperation, RequestClass, StateResponse};
 use crate::model::{JobKind, JobSpec, Millis, TaskId, WallMs, WorkerHeartbeat};
-use crate::scheduling::claims::AttemptOutcome;
+use crate::scheduling::releases::AttemptOutcome;
 use crate::state::{ChunkRecord, Key, Record, RunTimesRecord, TaskState, TransactionBuilder};
 use foldhash::HashMap;
 use glenmount_runtime_estimates::constants::{CLASSES_MAX, RECORD_NAME_MAX_BYTES};
--- a/crates/core/src/scheduling/mod.rs
+++ b/crates/core/src/scheduling/mod.rs
@@ -1,4 +1,4 @@
-//! Scheduling: pending work, queue order, placement, claims, preemption, rescheduling and quota enforcement.
+//! Scheduling: pending work, queue order, placement, claims, releases, preemption, rescheduling and quota enforcement.
 //!
 //! `pass` runs the steps of a scheduling pass in order; `migration_step` runs independently of it. The other
 //! modules make decisions from a view of the cluster and have no access to the controller's effects.
@@ -15,6 +15,7 @@
 mod preemption_step;
 pub mod queue_order;
 pub mod quota_enforcement;
+pub mod releases;
 pub mod rescheduling;
 pub(crate) mod schedule;
 pub mod service_reserve;
--- a/crates/core/src/state/cache/images.rs
+++ b/crates/core/src/state/cache/images.rs
@@ -1,7 +1,8 @@
 //! Hints for placement: the images that each machine probably has in its cache.
 
 use super::StateCache;
-use crate::constants::{MACHINE_IMAGES_MAX, PEER_ENTRY_BYTES, TRACKED_IMAGES_MAX};
+use crate::constants::messages::PEER_ENTRY_BYTES;
+use crate::constants::{MACHINE_IMAGES_MAX, TRACKED_IMAGES_MAX};
 use foldhash::HashMap;
 
 /// The images that machines have fetched. They are hints only, kept in memory: to record them in
--- a/crates/core/src/workers/command_size.rs
+++ b/crates/core/src/workers/command_size.rs
@@ -1,6 +1,6 @@
 //! The size of commands to workers: a request or a line of a reply may take `REQUEST_BODY_MAX_BYTES` by protocol.
 
-use crate::constants::{COMMAND_BASE_BYTES, COMMAND_BYTES, REQUEST_BODY_MAX_BYTES};
+use crate::constants::messages::{COMMAND_BASE_BYTES, COMMAND_BYTES, REQUEST_BODY_MAX_BYTES};
 use crate::model::WorkerCommand;
 
 /// Returns the most bytes that a command takes in a message.
--- a/crates/core/src/workers/heartbeats.rs
+++ b/crates/core/src/workers/heartbeats.rs
@@ -1,8 +1,7 @@
 //! Worker heartbeats: the controller drops, replies to, holds or redirects each one.
 
-use crate::constants::{
-    HEARTBEAT_ASSIGNED_BYTES, HEARTBEAT_REPLY_MAX_DELAY_MS, WORKER_FAILOVER_MS, WORKER_HANDOFF_MS,
-};
+use crate::constants::messages::HEARTBEAT_ASSIGNED_BYTES;
+use crate::constants::{HEARTBEAT_REPLY_MAX_DELAY_MS, WORKER_FAILOVER_MS, WORKER_HANDOFF_MS};
 use crate::controller::{Controller, Effect, RequestId, WorkerReply};
 use crate::model::{HeartbeatPosition, Millis, WorkerHeartbeat};
 use crate::workers::registry::ReceivedHeartbeat;
--- a/crates/core/src/workers/reconciliation.rs
+++ b/crates/core/src/workers/reconciliation.rs
@@ -6,7 +6,7 @@
 use crate::constants::{LIKELY_END_PROBABILITY, NOTICE_MARGIN_MS};
 use crate::controller::Controller;
 use crate::model::{ExitCause, HeartbeatPosition, Millis, TaskId, TaskPhase, WorkerHeartbeat};
-use crate::scheduling::claims::AttemptOutcome;
+use crate::scheduling::releases::AttemptOutcome;
 use crate::state::{Assignment, StartDelivery};
 use crate::workers::results::EndedAttempt;
 use foldhash::HashMap;
--- a/crates/core/src/workers/results.rs
+++ b/crates/core/src/workers/results.rs
@@ -11,7 +11,7 @@
 };
 use crate::controller::{Controller, PendingOperation, RequestClass};
 use crate::model::{JobKind, Millis, TaskId};
-use crate::scheduling::claims::{self, AttemptOutcome};
+use crate::scheduling::releases::{self, AttemptOutcome};
 use crate::settings::Settings;
 use crate::state::StartDelivery;
 use crate::state::{Assignment, Key, MachinePhase, MachineRecord, Record, TransactionBuilder};
@@ -186,12 +186,12 @@
     fn draft_results(&self, draft: &mut ResultsDraft) -> Vec<(TaskId, u64)> {
         let mut released = Vec::new();
         for (task, attempt, outcome) in self.results_in_priority_order() {
-            let changes = claims::max_release_changes(&draft.builder, task, outcome);
+            let changes = releases::max_release_changes(&draft.builder, task, outcome);
             if !draft.has_unreserved_room(changes) {
                 draft.is_full = true;
                 break;
             }
-            claims::release(&mut draft.builder, task, attempt, outcome, self.wall_time);
+            releases::release(&mut draft.builder, task, attempt, outcome, self.wall_time);
             released.push((task.clone(), attempt));
         }
         released
--- a/crates/core/tests/scenarios/heartbeat_limits.rs
+++ b/crates/core/tests/scenarios/heartbeat_limits.rs
@@ -2,7 +2,8 @@
 //! list, and commands are split or deferred. The simulation lets an oversized message fail, as a receiver does.
 
 use crate::common::{fixed_fleet, is_cancel_confirmed, is_done, started_cluster};
-use glenmount_core::constants::{REQUEST_BODY_MAX_BYTES, REQUIRED_TRANSACTION_CHANGES};
+use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
+use glenmount_core::constants::REQUIRED_TRANSACTION_CHANGES;
 use glenmount_core::model::{
     heartbeat_task_bytes, DirectStart, JobPriority, JobSpec, TaskId, WorkerCommand,
 };
--- a/crates/glenmount/src/http_server.rs
+++ b/crates/glenmount/src/http_server.rs
@@ -3,7 +3,7 @@
 use crate::timings::{MESSAGES_READ, REPLIES_WRITTEN};
 use crate::wire;
 use futures_util::{Stream, StreamExt};
-use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
+use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::controller::{Event, RequestId, UserReply, WorkerReply};
 use std::convert::Infallible;
 use std::pin::pin;
--- a/crates/glenmount/src/peer_link/tests.rs
+++ b/crates/glenmount/src/peer_link/tests.rs
@@ -2,7 +2,7 @@
 
 use super::frames::read_heartbeat;
 use super::{receive_heartbeats, send_heartbeats};
-use glenmount_core::constants::{PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES};
+use glenmount_core::constants::messages::{PEER_FRAME_MAX_BYTES, PEER_HEARTBEAT_BASE_BYTES};
 use glenmount_core::controller::{ControllerStatus, Event, PeerHeartbeat};
 use glenmount_core::state::{Key, MachinePhase, MachineRecord, Record, StateCache};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/glenmount/src/tests/public_protocol.rs
+++ b/crates/glenmount/src/tests/public_protocol.rs
@@ -2,7 +2,7 @@
 
 use super::{check_lines, format_heartbeat, in_time};
 use crate::http_server::{routes, Api, CoreReply, PendingRequest};
-use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
+use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::controller::{Event, UserReply, WorkerReply};
 use glenmount_core::model::{JobState, TaskId, WorkerCommand};
 use std::sync::atomic::AtomicBool;
--- a/crates/glenmount/src/wire/tests.rs
+++ b/crates/glenmount/src/wire/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of reading and writing the published messages.
 
 use super::{read_heartbeat, read_submission, write_command, write_user_reply, write_worker_reply};
-use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
+use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::controller::{UserReply, WorkerReply};
 use glenmount_core::model::{ExitCause, JobPriority, JobState, TaskId, TaskPhase, WorkerCommand};
 use glenmount_core::workers::command_size::count_fitting;
--- a/crates/simulation/src/message_sizes.rs
+++ b/crates/simulation/src/message_sizes.rs
@@ -1,7 +1,7 @@
 //! Sizes of the messages between workers and controllers in the JSON form of the protocol, without spaces.
 //! They are computed here independently of the core's bounds, so that a wrong bound is found.
 
-use glenmount_core::constants::REQUEST_BODY_MAX_BYTES;
+use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::model::{ExitCause, TaskId, TaskPhase, WorkerCommand, WorkerHeartbeat};
 
 /// Returns whether the receiver of a request of this size, or of a response line, rejects it.
