Message sizes: one way to add a task's entry, and less work per claim and heartbeat

The same struct update stood in JobSpec and in the cache; each claim decided three times whether it is exclusive and allocated its machine's key for that; a claim for a machine whose record the transaction already writes copied it once more; the size of all workers was summed for every peer heartbeat though only one with images needs it; and commands of which the first alone is too large would have been split for ever (no id on record is that long). Change: `Resources::with_task_entry`; `Claim::is_exclusive` and `adds_machine`; `image_space`; each message has at least one command. Scenarios with other settings share `fixed_fleet_with`. No bound, assertion or expectation changed.

--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -32,7 +32,7 @@
     #[serde(rename = "r")]
     pub ram: u64,
     /// Bytes of task entries in a machine's heartbeats, whose size is limited. Not stored or sent: it is set by
-    /// [`JobSpec::task_request`] and [`MachineType::task_capacity`].
+    /// [`Resources::with_task_entry`] and [`MachineType::task_capacity`].
     #[serde(skip)]
     pub heartbeat_bytes: u64,
 }
@@ -87,6 +87,14 @@
             heartbeat_bytes: self.heartbeat_bytes.min(resources.heartbeat_bytes),
         }
     }
+    /// Returns what a task of a job with this resource request takes of a machine: the resources and the task's
+    /// entry in heartbeats.
+    pub fn with_task_entry(self, job: &str) -> Resources {
+        Resources {
+            heartbeat_bytes: heartbeat_task_bytes(job),
+            ..self
+        }
+    }
     /// Returns the number of tasks with this resource request that fit.
     pub fn max_tasks(&self, resources: &Resources) -> u64 {
         let fitting =
@@ -135,10 +143,7 @@
 impl JobSpec {
     /// Returns what one of its tasks takes of a machine: its resources and its entry in heartbeats.
     pub fn task_request(&self) -> Resources {
-        Resources {
-            heartbeat_bytes: heartbeat_task_bytes(&self.id),
-            ..self.resources
-        }
+        self.resources.with_task_entry(&self.id)
     }
     /// Returns whether tasks of the job may run on a machine of this type, zone and pricing.
     pub fn allows(&self, type_name: &str, zone: &str, spot: bool) -> bool {
--- a/crates/core/src/peers/failover.rs
+++ b/crates/core/src/peers/failover.rs
@@ -146,8 +146,10 @@
                 age_ms: self.now - h.at,
             })
             .collect();
-        let worker_bytes = workers.iter().map(|w| PEER_WORKER_BYTES + w.machine.len());
-        let used_bytes = PEER_HEARTBEAT_BASE_BYTES + worker_bytes.sum::<usize>();
+        let cached_images = match includes_images {
+            true => self.cache.image_hints(image_space(&workers)),
+            false => Vec::new(),
+        };
         let status = ControllerStatus {
             revision: self.cache.revision,
             term: self.cache.term().unwrap_or(0),
@@ -167,13 +169,7 @@
                 && self.lifecycle.shutting_down_since.is_none(),
             workers,
             just_started: self.now - self.lifecycle.started_at < STARTUP_PERIOD_MS,
-            cached_images: match includes_images {
-                true => {
-                    let max_bytes = PEER_FRAME_MAX_BYTES.saturating_sub(used_bytes);
-                    self.cache.image_hints(max_bytes)
-                }
-                false => Vec::new(),
-            },
+            cached_images,
             status: includes_status.then_some(status),
         }));
     }
@@ -183,3 +179,10 @@
         Some(self.peers.peer(controller)?.status())
     }
 }
+
+/// Returns how many bytes of a peer heartbeat are left for images beside its workers.
+fn image_space(workers: &[HeardWorker]) -> usize {
+    let worker_bytes = workers.iter().map(|w| PEER_WORKER_BYTES + w.machine.len());
+    let used_bytes = PEER_HEARTBEAT_BASE_BYTES + worker_bytes.sum::<usize>();
+    PEER_FRAME_MAX_BYTES.saturating_sub(used_bytes)
+}
--- a/crates/core/src/scheduling/claims.rs
+++ b/crates/core/src/scheduling/claims.rs
@@ -131,6 +131,7 @@
         job,
         spec,
         chunk_number: job.chunk_of(task.index),
+        is_exclusive: is_exclusive(settings, request, spec),
     };
     claim.check_chunk(draft, settings, wall_time)?;
     claim.check_machine(draft, settings)?;
@@ -142,9 +143,7 @@
     if !within_limit(team, &draft.usage(&spec.team), &spec.resources) {
         return Err(Refusal::TeamLimit);
     }
-    if claim.excludes_concurrent_claims(settings)
-        && claim.max_changes(team) > settings.max_transaction_changes
-    {
+    if claim.is_exclusive && claim.max_changes(team) > settings.max_transaction_changes {
         return Err(Refusal::MachineUnavailable);
     }
     if !claim.fits_transaction(draft, settings, team) {
@@ -160,6 +159,18 @@
     spec: &'a JobSpec,
     /// The number of the task's chunk.
     chunk_number: u32,
+    /// Whether it must conflict with concurrent claims of other controllers for the same machine.
+    is_exclusive: bool,
+}
+
+/// Returns whether a claim must conflict with concurrent claims of other controllers for the same machine.
+/// Below this number of tasks, claims of all controllers together cannot exceed what heartbeats may list.
+fn is_exclusive(settings: &Settings, request: &ClaimRequest, spec: &JobSpec) -> bool {
+    let free_bytes = request.free.heartbeat_bytes;
+    let used_bytes =
+        HEARTBEAT_ASSIGNED_BYTES.saturating_sub(free_bytes) + spec.task_request().heartbeat_bytes;
+    let controllers = settings.controllers.len().max(1) as u64;
+    used_bytes > HEARTBEAT_ASSIGNED_BYTES / controllers
 }
 
 impl Claim<'_> {
@@ -230,14 +241,13 @@
         Ok(())
     }
 
-    /// Returns whether the claim must conflict with concurrent claims of other controllers for the same machine.
-    /// Below this number of tasks, claims of all controllers together cannot exceed what heartbeats may list.
-    fn excludes_concurrent_claims(&self, settings: &Settings) -> bool {
-        let free_bytes = self.request.free.heartbeat_bytes;
-        let used_bytes = HEARTBEAT_ASSIGNED_BYTES.saturating_sub(free_bytes)
-            + self.spec.task_request().heartbeat_bytes;
-        let controllers = settings.controllers.len().max(1) as u64;
-        used_bytes > HEARTBEAT_ASSIGNED_BYTES / controllers
+    fn machine_key(&self) -> Key {
+        Key::Machine(self.request.machine.to_string())
+    }
+
+    /// Returns whether the claim adds a write of its machine's record to the draft.
+    fn adds_machine(&self, draft: &TransactionBuilder) -> bool {
+        self.is_exclusive && !draft.has_change(&self.machine_key())
     }
 
     /// Returns the number of changes of an exclusive claim in an empty transaction.
@@ -256,10 +266,7 @@
         settings: &Settings,
         team: &Team,
     ) -> bool {
-        let machine_key = Key::Machine(self.request.machine.to_string());
-        let adds_machine =
-            self.excludes_concurrent_claims(settings) && !draft.has_change(&machine_key);
-        let machine_changes = usize::from(adds_machine);
+        let machine_changes = usize::from(self.adds_machine(draft));
         let bytes = self.assignment_bytes() + machine_changes * SMALL_RECORD_BYTES;
         if draft.has_change(&self.chunk_key()) {
             return draft.has_room(settings, machine_changes, 1, bytes);
@@ -295,10 +302,9 @@
         let attempt = draft.cache.claim_revision(&task.job, self.chunk_number);
         draft.add_condition(Key::Job(task.job.clone()));
         draft.add_condition(Key::Machine(machine.clone()));
-        if self.excludes_concurrent_claims(settings) {
-            let key = Key::Machine(machine.clone());
+        if self.adds_machine(draft) {
             let record = draft.machine(&machine).ok_or(Refusal::MachineUnavailable)?;
-            draft.put(key, Record::Machine(record));
+            draft.put(self.machine_key(), Record::Machine(record));
         }
         if settings.checks.configuration_conditions {
             draft.add_condition_at_revision(Key::Configuration, settings.policy.mod_revision);
--- a/crates/core/src/state/cache/assignments.rs
+++ b/crates/core/src/state/cache/assignments.rs
@@ -2,7 +2,7 @@
 //! per team, and task counts per job.
 
 use super::StateCache;
-use crate::model::{heartbeat_task_bytes, Resources, TaskId};
+use crate::model::{Resources, TaskId};
 use crate::state::{Assignment, ChunkRecord, TeamRecord};
 use std::collections::BTreeMap;
 
@@ -43,14 +43,6 @@
     })
 }
 
-/// Returns what a task of a chunk takes of its machine.
-fn task_resources(job: &str, chunk: &ChunkRecord) -> Resources {
-    Resources {
-        heartbeat_bytes: heartbeat_task_bytes(job),
-        ..chunk.resources
-    }
-}
-
 impl StateCache {
     /// Returns the jobs with chunks on record, in any phase, and their task counts.
     pub fn task_counts_by_job(&self) -> impl Iterator<Item = (&str, TaskCounts)> {
@@ -143,7 +135,7 @@
         assignment: &Assignment,
         chunk: &ChunkRecord,
     ) {
-        let resources = task_resources(job, chunk);
+        let resources = chunk.resources.with_task_entry(job);
         let job = job.to_string();
         let task = TaskId { job, index };
         if let Some(assigned) = self.assigned.get_mut(&assignment.machine) {
@@ -166,7 +158,7 @@
         assignment: &Assignment,
         chunk: &ChunkRecord,
     ) {
-        let resources = task_resources(job, chunk);
+        let resources = chunk.resources.with_task_entry(job);
         let task = TaskId {
             job: job.to_string(),
             index,
--- a/crates/core/src/workers/command_size.rs
+++ b/crates/core/src/workers/command_size.rs
@@ -21,12 +21,12 @@
     commands.iter().take_while(fits).count()
 }
 
-/// Splits commands into messages, in order. Without any command there is one message, a probe.
+/// Splits commands into messages, in order, each with at least one command. Without any command there is one message, a probe.
 pub(super) fn split_into_messages(mut commands: Vec<WorkerCommand>) -> Vec<Vec<WorkerCommand>> {
     let mut messages = Vec::new();
     loop {
-        let fitting = count_fitting(&commands);
-        let rest = commands.split_off(fitting);
+        let fitting = count_fitting(&commands).max(1);
+        let rest = commands.split_off(fitting.min(commands.len()));
         messages.push(commands);
         if rest.is_empty() {
             return messages;
--- a/crates/core/src/workers/heartbeats.rs
+++ b/crates/core/src/workers/heartbeats.rs
@@ -38,7 +38,7 @@
     ) {
         self.metrics.heartbeats += 1;
         let position = heartbeat.position();
-        let (now, task_bytes) = (self.now, heartbeat.task_bytes());
+        let now = self.now;
         if self.settings.checks.duplicate_heartbeats
             && self.liveness(&heartbeat.machine).has_received(position)
         {
@@ -49,14 +49,14 @@
             return;
         }
         self.detect_unreachable_worker(&heartbeat);
+        let received = ReceivedHeartbeat {
+            at: now,
+            position,
+            task_bytes: heartbeat.task_bytes(),
+        };
         match self.workers.last_heartbeats.get_mut(&heartbeat.machine) {
-            Some(last) => (last.at, last.position, last.task_bytes) = (now, position, task_bytes),
+            Some(last) => *last = received,
             None => {
-                let received = ReceivedHeartbeat {
-                    at: now,
-                    position,
-                    task_bytes,
-                };
                 self.workers
                     .last_heartbeats
                     .insert(heartbeat.machine.clone(), received);
--- a/crates/core/tests/scenarios/common.rs
+++ b/crates/core/tests/scenarios/common.rs
@@ -128,7 +128,18 @@
 
 /// A started simulation whose fleet neither grows nor shrinks.
 pub fn fixed_fleet(seed: u64, controllers: usize, machines: usize) -> Simulation {
+    fixed_fleet_with(seed, controllers, machines, |_| {})
+}
+
+/// The same with settings that differ from the usual ones.
+pub fn fixed_fleet_with(
+    seed: u64,
+    controllers: usize,
+    machines: usize,
+    configure: impl FnOnce(&mut Simulation),
+) -> Simulation {
     let mut sim = Simulation::new(seed, controllers, machines);
+    configure(&mut sim);
     sim.settings.idle_timeout_ms = 3_600_000;
     sim.cloud.capacity = 0;
     sim.run(6_000);
--- a/crates/core/tests/scenarios/heartbeat_limits.rs
+++ b/crates/core/tests/scenarios/heartbeat_limits.rs
@@ -1,7 +1,7 @@
 //! The size limit of messages between workers and controllers: a machine gets no more tasks than its heartbeats can
 //! list, and commands are split or deferred. The simulation lets an oversized message fail, as a receiver does.
 
-use crate::common::{fixed_fleet, is_cancel_confirmed, is_done, started_cluster};
+use crate::common::{fixed_fleet, fixed_fleet_with, is_cancel_confirmed, is_done, started_cluster};
 use glenmount_core::constants::messages::REQUEST_BODY_MAX_BYTES;
 use glenmount_core::constants::REQUIRED_TRANSACTION_CHANGES;
 use glenmount_core::model::{
@@ -111,12 +111,10 @@
 #[test]
 fn results_that_pile_up_stay_within_the_heartbeat_limit() {
     for seed in 0..4 {
-        let mut sim = Simulation::new(1220 + seed, 1, 1);
-        use_long_leases(&mut sim);
-        sim.settings.idle_timeout_ms = 3_600_000;
-        sim.settings.write_rps = 200.0;
-        sim.cloud.capacity = 0;
-        sim.run(6_000);
+        let mut sim = fixed_fleet_with(1220 + seed, 1, 1, |sim| {
+            use_long_leases(sim);
+            sim.settings.write_rps = 200.0;
+        });
         sim.workload.run_ms = 300;
         sim.network.faults.reply_lost = 0.6;
         sim.submit(0, dense_job("j-1", 6_000));
@@ -134,11 +132,9 @@
 /// never fit, and all further work would wait behind it.
 #[test]
 fn dense_tasks_are_placed_with_the_fewest_changes_per_transaction() {
-    let mut sim = Simulation::new(1225, 3, 2);
-    sim.settings.idle_timeout_ms = 3_600_000;
-    sim.settings.max_transaction_changes = REQUIRED_TRANSACTION_CHANGES as usize;
-    sim.cloud.capacity = 0;
-    sim.run(6_000);
+    let mut sim = fixed_fleet_with(1225, 3, 2, |sim| {
+        sim.settings.max_transaction_changes = REQUIRED_TRANSACTION_CHANGES as usize;
+    });
     sim.workload.run_ms = 600_000;
     let mut spread = limited_team(dense_job("j-1", 1_000));
     spread.topology_spread = true;
--- a/crates/simulation/src/message_sizes.rs
+++ b/crates/simulation/src/message_sizes.rs
@@ -45,24 +45,25 @@
 }
 
 fn command_bytes(command: &WorkerCommand) -> usize {
-    let (empty_form, task, attempt) = match command {
+    let (fixed_bytes, task, attempt) = match command {
         WorkerCommand::Start { task, attempt } => {
-            (r#"{"verb":"start","drop":"","try":},"#, task, attempt)
+            let form = r#"{"verb":"start","drop":"","try":},"#;
+            (form.len(), task, attempt)
         }
         WorkerCommand::Forget { task, attempt } => {
-            (r#"{"verb":"forget","drop":"","try":},"#, task, attempt)
+            let form = r#"{"verb":"forget","drop":"","try":},"#;
+            (form.len(), task, attempt)
         }
-        WorkerCommand::Stop { task, attempt, .. } => (
-            r#"{"verb":"halt","drop":"","try":,"leewayS":},"#,
+        WorkerCommand::Stop {
             task,
             attempt,
-        ),
-    };
-    let grace_bytes = match command {
-        WorkerCommand::Stop { grace_s, .. } => format!("{grace_s:?}").len(),
-        WorkerCommand::Start { .. } | WorkerCommand::Forget { .. } => 0,
+            grace_s,
+        } => {
+            let form = format!(r#"{{"verb":"halt","drop":"","try":,"leewayS":{grace_s:?}}},"#);
+            (form.len(), task, attempt)
+        }
     };
-    empty_form.len() + task_id_bytes(task) + digits(*attempt) + grace_bytes
+    fixed_bytes + task_id_bytes(task) + digits(*attempt)
 }
 
 fn task_id_bytes(task: &TaskId) -> usize {
