A copy of a start begins a task again: faults, and two tests that fail

By the records a direct command that had been carried out and answered 3.3 s before reached its worker again and started an attempt that the worker had been told to forget, while the task ran elsewhere under its next attempt.

This adds the fault and does not change the controllers: - simulation: FaultRates::command_repeated (up to three copies of an executed command, from at once to three minutes later), and copies on request (repeat_commands). No worker may begin an attempt twice in one incarnation (started_again). - load test: the fault commands_repeat of a plan, the rule started_again, and counts of direct commands and heartbeat answers by outcome, the size of the largest heartbeat. The sample of error texts names the new kind. - xtask known-red: a line may also have command, seed and what was seen, separated by semicolons; the command must name the test.

--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -20,6 +20,7 @@
 mod quick_restarts;
 mod quotas;
 mod random_faults;
+mod repeated_commands;
 mod requests;
 mod rescheduling;
 mod rolling_upgrade;
--- a/crates/glenmount/tests/small_plan.rs
+++ b/crates/glenmount/tests/small_plan.rs
@@ -56,3 +56,25 @@
     }
     std::fs::remove_dir_all(&options.folder).unwrap();
 }
+
+/// Half of all direct commands arrive again, beside controllers that end and are back within 0.3 s.
+#[test]
+fn copies_of_direct_commands_start_no_attempt_again() {
+    let options = options("copies");
+    let changes = [
+        "troubles=[{at_s=0.0, kind=\"commands_repeat\", share=0.5, for_s=25.0}, \
+         {at_s=4.0, kind=\"controller_end\", controller=0, for_s=0.3}, \
+         {at_s=9.0, kind=\"controller_end\", controller=1, for_s=0.3}]",
+        "seconds=20.0",
+    ];
+    let plan = Plan::parse(PLAN, &changes.map(String::from)).unwrap();
+    let result = run_alone(plan, &options).unwrap();
+    assert!(result.is_good(), "{:?}", result.violations);
+    let copies_refused = result.figures.worker_messages.get("copies refused");
+    assert!(
+        copies_refused.is_some_and(|count| *count > 0),
+        "{}",
+        result.figures
+    );
+    std::fs::remove_dir_all(&options.folder).unwrap();
+}
--- a/crates/loadtest/src/environment.rs
+++ b/crates/loadtest/src/environment.rs
@@ -13,6 +13,7 @@
 use rand::distributions::uniform::{SampleRange, SampleUniform};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::sync::atomic::AtomicU64;
 use std::sync::Mutex;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -42,6 +43,10 @@
     pub record_changes: NamedCounters,
     /// Counters of answers to users other than 200 and 201, and of missing answers.
     pub unexpected_answers: NamedCounters,
+    /// Counters of direct commands, their copies and answered heartbeats, by outcome.
+    pub worker_messages: NamedCounters,
+    /// Size of the largest heartbeat of a worker, in bytes.
+    pub largest_heartbeat_bytes: AtomicU64,
     /// Number of task starts by second of the run.
     pub tasks_started: PerSecondCounter,
     /// Number of submitted tasks by second of the run.
@@ -66,6 +71,8 @@
             transactions: NamedCounters::default(),
             record_changes: NamedCounters::default(),
             unexpected_answers: NamedCounters::default(),
+            worker_messages: NamedCounters::default(),
+            largest_heartbeat_bytes: AtomicU64::new(0),
             tasks_started: PerSecondCounter::new(seconds),
             tasks_submitted: PerSecondCounter::new(seconds),
             plan,
@@ -106,6 +113,9 @@
                     invariants.task_started(&task, placement, now_ms);
                     self.record_start(&task, now_ms);
                 }
+                WorkerEvent::AttemptRestarted { task, attempt } => {
+                    invariants.attempt_restarted(&task, attempt, &placement.worker, now_ms);
+                }
                 WorkerEvent::TaskEnded {
                     task,
                     completed,
--- a/crates/loadtest/src/faults.rs
+++ b/crates/loadtest/src/faults.rs
@@ -75,6 +75,11 @@
                 sleep(duration).await;
                 self.state_store.set_rejected(controller, false);
             }
+            FaultKind::RepeatedCommands => {
+                self.fleet.command_copies.set_share(fault.share);
+                sleep(duration).await;
+                self.fleet.command_copies.set_share(0.0);
+            }
             FaultKind::CloudOutage => {
                 self.cloud.set_down(true);
                 sleep(duration).await;
--- a/crates/loadtest/src/invariants/mod.rs
+++ b/crates/loadtest/src/invariants/mod.rs
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Records that a worker begins an attempt that it has begun before and forgotten.
+    pub fn attempt_restarted(&mut self, task: &TaskId, attempt: u64, worker: &str, now_ms: u64) {
+        let detail = format!("{task} attempt {attempt} on {worker}");
+        self.report(Invariant::AttemptRestarted, detail, now_ms);
+    }
+
     /// Records that a worker no longer runs a task.
     pub fn task_ended(&mut self, task: &TaskId, worker: &str, completed: bool) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/loadtest/src/invariants/violation.rs
+++ b/crates/loadtest/src/invariants/violation.rs
@@ -21,6 +21,9 @@
     /// Controllers never lose an accepted job.
     #[serde(rename = "forgotten")]
     JobLost,
+    /// No worker begins an attempt of a task again after it has forgotten it.
+    #[serde(rename = "started_again")]
+    AttemptRestarted,
     /// Only submitted jobs have running tasks or a status.
     #[serde(rename = "invented")]
     UnknownJob,
@@ -41,6 +44,7 @@
             Invariant::PlacementConstraint => "WrongPlace",
             Invariant::RunAfterCancellation => "RanCancelled",
             Invariant::JobLost => "Forgotten",
+            Invariant::AttemptRestarted => "StartedAgain",
             Invariant::UnknownJob => "Invented",
             Invariant::IncompleteJobDone => "NotDone",
             Invariant::FinalStatusChanged => "WentBack",
--- a/crates/loadtest/src/measurement/figures.rs
+++ b/crates/loadtest/src/measurement/figures.rs
@@ -97,6 +97,12 @@
     /// Number of answers to users other than 200 and 201, and of missing answers, by name.
     #[serde(rename = "user_answers")]
     pub unexpected_answers: BTreeMap<String, u64>,
+    /// Number of direct commands, their copies and answered heartbeats by outcome, since the start of the run.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub worker_messages: BTreeMap<String, u64>,
+    /// Size of the largest heartbeat of a worker since the start of the run.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub largest_heartbeat_bytes: Option<u64>,
 }
 
 /// A figure that is compared between runs and fitted to the sizes of runs.
--- a/crates/loadtest/src/measurement/table.rs
+++ b/crates/loadtest/src/measurement/table.rs
@@ -13,6 +13,12 @@
         for (name, count) in &self.unexpected_answers {
             writeln!(f, "users, {name}: {count}")?;
         }
+        for (name, count) in &self.worker_messages {
+            writeln!(f, "workers, {name}: {count}")?;
+        }
+        if let Some(bytes) = self.largest_heartbeat_bytes {
+            writeln!(f, "largest heartbeat: {bytes} bytes")?;
+        }
         self.write_latencies(f)?;
         self.write_starts(f)?;
         let bytes = self.worker_bandwidth;
--- a/crates/loadtest/src/plan/faults.rs
+++ b/crates/loadtest/src/plan/faults.rs
@@ -25,6 +25,13 @@
     /// Mean latency of the state store during the fault.
     #[serde(default)]
     pub latency_ms: f64,
+    /// Share of the direct commands of which copies arrive, from 0 to 1.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub share: f64,
+}
+
+fn is_zero(share: &f64) -> bool {
+    *share == 0.0
 }
 
 /// The kind of a fault.
@@ -70,6 +77,10 @@
     /// The cloud answers 503 to all controllers for the duration.
     #[serde(rename = "cloud_down")]
     CloudOutage,
+    /// Copies of a share of the direct commands that workers execute for the duration arrive again, from at once
+    /// to a minute later.
+    #[serde(rename = "commands_repeat")]
+    RepeatedCommands,
 }
 
 impl FaultKind {
--- a/crates/loadtest/src/plan/validation.rs
+++ b/crates/loadtest/src/plan/validation.rs
@@ -162,6 +162,9 @@
         require_amount("troubles.at_s", fault.at_s, 0.0, self.seconds)?;
         require_amount("troubles.for_s", fault.duration_s, 0.0, MAX_DURATION_S)?;
         require_amount("troubles.latency_ms", fault.latency_ms, 0.0, 1e4)?;
+        require_amount("troubles.share", fault.share, 0.0, 1.0)?;
+        let has_share = fault.kind != FaultKind::RepeatedCommands || fault.share > 0.0;
+        require(has_share, "troubles.share", "which share of the commands")?;
         let has_count = !fault.kind.needs_count() || fault.count > 0;
         require(has_count, "troubles.count", "how many machines")?;
         let location = fault.location.as_deref();
--- a/crates/loadtest/src/run/measuring.rs
+++ b/crates/loadtest/src/run/measuring.rs
@@ -12,6 +12,7 @@
 use crate::sync::lock;
 use std::collections::BTreeMap;
 use std::process;
+use std::sync::atomic::Ordering::Relaxed;
 use tokio::time::sleep_until;
 
 /// Share of the machine's memory that a run may use.
@@ -193,6 +194,8 @@
             latencies: BTreeMap::new(),
             worker_bandwidth: rates.worker_bandwidth,
             unexpected_answers: environment.unexpected_answers.totals(),
+            worker_messages: environment.worker_messages.totals(),
+            largest_heartbeat_bytes: Some(environment.largest_heartbeat_bytes.load(Relaxed)),
         }
     }
 }
--- a/crates/loadtest/src/stand_ins/hollow_worker/attempts.rs
+++ b/crates/loadtest/src/stand_ins/hollow_worker/attempts.rs
@@ -26,7 +26,7 @@
 }
 
 /// An attempt to run a task.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
     /// Attempted task.
     pub task: TaskId,
--- a/crates/loadtest/src/stand_ins/hollow_worker/mod.rs
+++ b/crates/loadtest/src/stand_ins/hollow_worker/mod.rs
@@ -12,7 +12,7 @@
     CommandAction, ExitCause, HeartbeatAnswer, TaskCommand, TaskState, TaskStatus, WorkerHeartbeat,
 };
 use attempts::{exited, Attempt, AttemptId, Phase};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::mem;
 
 /// Number of images that a worker caches.
@@ -51,6 +51,13 @@
 pub enum WorkerEvent {
     /// The image of a task is pulled and the task runs.
     TaskStarted(TaskId),
+    /// The worker begins an attempt that it has begun before in this incarnation, and forgotten.
+    AttemptRestarted {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u64,
+    },
     /// A task no longer runs.
     TaskEnded {
         /// The task.
@@ -94,6 +101,8 @@
     /// Start of the lease: the send time of the latest answered heartbeat, or the start of the incarnation.
     lease_begin_ms: u64,
     attempts: BTreeMap<AttemptId, Attempt>,
+    /// Attempts that this incarnation has begun, to find those that it begins again.
+    begun: HashSet<AttemptId>,
     /// Cached images, most recently used last.
     images: VecDeque<String>,
     /// End of each running image pull, by image.
@@ -111,6 +120,7 @@
             fencing_token: 0,
             lease_begin_ms: now_ms,
             attempts: BTreeMap::new(),
+            begun: HashSet::new(),
             images: VecDeque::new(),
             pulls: HashMap::new(),
         }
@@ -219,6 +229,7 @@
     /// Stops and forgets all tasks and cancels all image pulls.
     pub fn stop_all(&mut self, now_ms: u64) -> Vec<WorkerEvent> {
         self.pulls.clear();
+        self.begun.clear();
         let attempts = mem::take(&mut self.attempts).into_iter();
         let running = attempts.filter(|(_, attempt)| attempt.is_running());
         running
@@ -278,7 +289,7 @@
         let mut events = self.advance(now_ms);
         for command in commands {
             match command.action {
-                CommandAction::Start => self.start(command, jobs, now_ms),
+                CommandAction::Start => events.extend(self.start(command, jobs, now_ms)),
                 CommandAction::Stop => events.extend(self.stop(command, now_ms)),
                 CommandAction::Forget => events.extend(self.forget(command)),
                 CommandAction::Unknown => {}
@@ -288,10 +299,15 @@
         events
     }
 
-    fn start(&mut self, command: &TaskCommand, jobs: &dyn JobLookup, now_ms: u64) {
+    fn start(
+        &mut self,
+        command: &TaskCommand,
+        jobs: &dyn JobLookup,
+        now_ms: u64,
+    ) -> Option<WorkerEvent> {
         let id = AttemptId::of(command);
         if self.attempts.contains_key(&id) {
-            return;
+            return None;
         }
         let task = &command.task;
         let job = jobs.find(&task.job);
@@ -310,7 +326,12 @@
                 run_ms: (job.submission.shape != JobShape::Daemon).then_some(job.run_ms),
             },
         };
+        let is_restarted = attempt.is_live() && !self.begun.insert(id.clone());
         self.attempts.insert(id, attempt);
+        is_restarted.then(|| WorkerEvent::AttemptRestarted {
+            task: command.task.clone(),
+            attempt: command.attempt,
+        })
     }
 
     fn initial_phase(&mut self, task: &TaskId, submission: &Submission, now_ms: u64) -> Phase {
--- a/crates/loadtest/src/stand_ins/worker_fleet/commands.rs
+++ b/crates/loadtest/src/stand_ins/worker_fleet/commands.rs
@@ -14,7 +14,7 @@
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 impl WorkerFleet {
-    pub(super) async fn serve_command(&self, request: IncomingRequest) -> Answer {
+    pub(super) async fn serve_command(self: &Arc<Self>, request: IncomingRequest) -> Answer {
         let worker = self.worker_at(request.connection.local.ip());
         let Some(worker) = worker.filter(|worker| !worker.is_unreachable()) else {
             sleep(UNREACHABLE_TIMEOUT).await;
@@ -58,7 +58,7 @@
         }
     }
 
-    fn answer(&self, request: &IncomingRequest, worker: &Worker) -> Answer {
+    fn answer(self: &Arc<Self>, request: &IncomingRequest, worker: &Arc<Worker>) -> Answer {
         let mut state = lock(&worker.state);
         if request.path != COMMAND_PATH {
             return Answer::json(200, &state.heartbeat());
@@ -76,9 +76,14 @@
         let status = match outcome {
             Ok(events) => {
                 environment.record_worker_events(&worker.placement, events);
+                environment.worker_messages.add("commands executed", 1);
+                self.repeat_later(worker, command);
                 200
             }
-            Err(_) => 409,
+            Err(_) => {
+                environment.worker_messages.add("commands refused", 1);
+                409
+            }
         };
         worker.wake();
         Answer::json(status, &state.heartbeat())
--- a/crates/loadtest/src/stand_ins/worker_fleet/heartbeats.rs
+++ b/crates/loadtest/src/stand_ins/worker_fleet/heartbeats.rs
@@ -10,6 +10,7 @@
 use crate::stand_ins::hollow_worker::SentHeartbeat;
 use crate::sync::lock;
 use hyper::Method;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::Arc;
 use tokio::time::{sleep, sleep_until, timeout_at, Duration};
 
@@ -126,10 +127,13 @@
             incarnation,
             sent_ms: self.environment.now_ms(),
         };
+        let body = serde_json::to_vec(&heartbeat).unwrap_or_default();
+        let largest_bytes = &self.environment.largest_heartbeat_bytes;
+        largest_bytes.fetch_max(body.len() as u64, Relaxed);
         let request = OutgoingRequest {
             method: Method::POST,
             path: HEARTBEAT_PATH,
-            body: serde_json::to_vec(&heartbeat).unwrap_or_default(),
+            body,
             timeout: ANSWER_TIMEOUT,
         };
         let Some(reply) = target.client.call(request).await else {
@@ -151,6 +155,8 @@
         reply: &Reply,
         sent: SentHeartbeat,
     ) -> NextController {
+        let name = format!("heartbeats answered {}", reply.status);
+        self.environment.worker_messages.add(&name, 1);
         let answer = serde_json::from_slice::<HeartbeatAnswer>(&reply.body).ok();
         match (reply.status, answer) {
             (200, Some(answer)) => {
--- a/crates/loadtest/src/stand_ins/worker_fleet/mod.rs
+++ b/crates/loadtest/src/stand_ins/worker_fleet/mod.rs
@@ -2,6 +2,7 @@
 //! own, and begins a new incarnation when its lease expires.
 
 mod addresses;
+mod command_copies;
 mod commands;
 mod heartbeats;
 mod worker;
@@ -16,6 +17,7 @@
 use crate::processes::controllers::Controllers;
 use crate::sync::lock;
 use addresses::worker_ip;
+use command_copies::CommandCopies;
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -46,6 +48,8 @@
     controllers: OnceLock<Arc<Controllers>>,
     next_index: AtomicU64,
     port: u16,
+    /// Copies of executed direct commands that arrive again.
+    pub(crate) command_copies: CommandCopies,
 }
 
 impl WorkerFleet {
@@ -58,6 +62,7 @@
             controllers: OnceLock::new(),
             next_index: AtomicU64::new(1),
             port: listener.local_addr()?.port(),
+            command_copies: CommandCopies::default(),
         });
         let serving_fleet = fleet.clone();
         serve(listener, move |request| {
--- a/crates/loadtest/tests/forms.rs
+++ b/crates/loadtest/tests/forms.rs
@@ -88,6 +88,8 @@
             max: 3.0,
         },
         unexpected_answers: BTreeMap::from([("UserPoll: 503".to_string(), 2)]),
+        worker_messages: BTreeMap::new(),
+        largest_heartbeat_bytes: None,
     }
 }
 
--- a/crates/loadtest/tests/hollow_worker.rs
+++ b/crates/loadtest/tests/hollow_worker.rs
@@ -150,3 +150,26 @@
         (2, 3, 0)
     );
 }
+
+/// The worker itself begins a forgotten attempt again: only a higher token keeps a copy of its start away.
+#[test]
+fn a_copy_of_a_start_restarts_a_forgotten_attempt_unless_a_higher_token_was_seen() {
+    for (forget_token, is_restarted) in [(5, true), (6, false)] {
+        let mut worker = worker();
+        let start = [command(CommandAction::Start, 0, 1)];
+        let jobs = &SingleJobLookup;
+        worker.apply_direct_command(5, 1, &start, jobs, 0).unwrap();
+        worker.advance(10_000);
+        worker.advance(20_000);
+        let forget = answer(forget_token, &[command(CommandAction::Forget, 0, 1)]);
+        worker.apply_heartbeat_answer(&forget, sent(20_000), jobs, 20_000);
+        let copy = worker.apply_direct_command(5, 1, &start, jobs, 30_000);
+        match is_restarted {
+            true => assert!(matches!(
+                copy.unwrap()[0],
+                WorkerEvent::AttemptRestarted { attempt: 1, .. }
+            )),
+            false => assert_eq!(copy, Err(CommandFenced)),
+        }
+    }
+}
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -71,6 +71,7 @@
                 fencing_token: token,
                 commands,
                 answer_expired: false,
+                is_copy: false,
             }),
             Effect::Exit => {
                 let restart_after_ms = self.controllers[controller].restart_after_ms;
--- a/crates/simulation/src/invariants.rs
+++ b/crates/simulation/src/invariants.rs
@@ -5,7 +5,31 @@
 use glenmount_core::state::{JobPhase, Key, Record};
 use std::collections::BTreeMap;
 
+/// An attempt that a worker has begun.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct BegunAttempt {
+    pub machine: String,
+    pub incarnation: u64,
+    pub task: TaskId,
+    pub attempt: u64,
+}
+
 impl Simulation {
+    /// Checks that no worker begins an attempt twice in one incarnation: the second run is on no record.
+    pub(crate) fn check_first_run(&mut self, machine: &str, task: &TaskId, attempt: u64) {
+        let begun = BegunAttempt {
+            machine: machine.to_string(),
+            incarnation: self.workers[machine].incarnation,
+            task: task.clone(),
+            attempt,
+        };
+        let is_first = self.begun_attempts.insert(begun);
+        assert!(
+            is_first,
+            "started_again: {task} attempt {attempt} on {machine}"
+        );
+    }
+
     /// Checks that a task may start on a machine: it runs on no other machine, its dependencies are complete, and its
     /// job allows the machine and the zone.
     pub(crate) fn check_start(&self, machine: &str, task: &TaskId) {
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -1,5 +1,6 @@
 //! The network between the components: partitions, and messages that are lost, late or duplicated.
 
+use crate::workers::Command;
 use crate::{Action, Simulation};
 use glenmount_core::controller::{CommandOutcome, Event};
 use glenmount_core::model::WorkerHeartbeat;
@@ -31,6 +32,9 @@
     pub command_lost: f64,
     /// A command to a worker arrives up to a minute later.
     pub command_late: f64,
+    /// A direct command that a worker has executed and answered arrives again, up to three times, from at once
+    /// to minutes later.
+    pub command_repeated: f64,
 }
 
 /// A partition: no message gets into or out of the zone.
@@ -52,6 +56,11 @@
     pub(crate) held_back: Vec<Action>,
     /// Copies of workers' heartbeats that all controllers get when a controller starts.
     pub(crate) kept_heartbeats: Vec<WorkerHeartbeat>,
+    /// Whether the network keeps a copy of each direct command that a worker executes, for
+    /// [`Simulation::repeat_commands`].
+    pub keeps_commands: bool,
+    /// Copies of executed direct commands.
+    pub(crate) kept_commands: Vec<Command>,
 }
 
 /// Returns the result of a command without a heartbeat of its worker.
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -3,6 +3,7 @@
 use crate::cloud::Cloud;
 use crate::digest::EffectDigest;
 use crate::event_loop::{Action, EventQueue};
+use crate::invariants::BegunAttempt;
 use crate::metrics::Metrics;
 use crate::network::Network;
 use crate::operator::OperatorState;
@@ -18,7 +19,7 @@
 use glenmount_core::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// Wall-clock time at the start of every simulation, in milliseconds since the Unix epoch.
 pub const START_TIME_MS: u64 = 1_700_000_000_000;
@@ -91,6 +92,8 @@
     /// Whether to skip the checks of invariants for measurements: they take longer than everything else.
     pub skip_invariants: bool,
     pub(crate) placements: Placements,
+    /// Attempts that a worker has begun, with the machine and the worker's incarnation.
+    pub(crate) begun_attempts: HashSet<BegunAttempt>,
     /// Configuration that operators have committed.
     pub operator: OperatorState,
     /// Counters of the simulation.
@@ -149,6 +152,7 @@
             cancel_at_completion: 0.0,
             skip_invariants: false,
             placements: Placements::default(),
+            begun_attempts: HashSet::new(),
             operator: OperatorState::default(),
             metrics: Metrics::default(),
             digest: None,
--- a/crates/simulation/src/workers/commands.rs
+++ b/crates/simulation/src/workers/commands.rs
@@ -4,11 +4,17 @@
 use crate::{Action, ProcessId, Simulation};
 use glenmount_core::controller::{CommandOutcome, Event};
 use glenmount_core::model::WorkerCommand;
+use rand::Rng;
+use std::ops::Range;
 
 /// Timeout of a command to a worker that does not answer.
 const COMMAND_TIMEOUT_MS: u64 = 2_000;
 /// Latency of an answer.
 const ANSWER_LATENCY_MS: u64 = 2;
+/// Delays after which a copy of an executed command arrives: at once, while its sender may be back, or long after.
+const COPY_DELAYS_MS: [Range<u64>; 3] = [1..1_000, 1_000..15_000, 15_000..180_000];
+/// Maximum number of copies of one command.
+const COPIES_MAX: usize = 3;
 
 /// Commands in flight to a worker.
 #[derive(Clone, Debug)]
@@ -20,6 +26,8 @@
     pub commands: Vec<WorkerCommand>,
     /// Whether its sender has timed out.
     pub answer_expired: bool,
+    /// Whether it is a copy of a command that its worker has executed.
+    pub is_copy: bool,
 }
 
 impl Simulation {
@@ -30,6 +38,9 @@
         let Some(worker) =
             worker.filter(|worker| worker.alive && (is_late || !worker.disconnected))
         else {
+            if command.is_copy {
+                return;
+            }
             let timeout = command_unanswered(command.worker, CommandOutcome::NoAnswer);
             self.deliver(COMMAND_TIMEOUT_MS, command.process, timeout);
             return;
@@ -57,6 +68,7 @@
             worker.token_reported_ms = Some(self.now_ms);
             self.schedule(500, Action::SendHeartbeat(command.worker.clone()));
         }
+        self.schedule_copies(&command);
         let is_stop = |command: &WorkerCommand| matches!(command, WorkerCommand::Stop { .. });
         let with_heartbeat = command.commands.is_empty() || command.commands.iter().any(is_stop);
         for worker_command in command.commands {
@@ -72,6 +84,38 @@
         }
     }
 
+    /// Schedules the copies of a command that its worker executes, and keeps one if the network keeps them.
+    fn schedule_copies(&mut self, command: &Command) {
+        if command.is_copy {
+            return;
+        }
+        let copy = Command {
+            answer_expired: true,
+            is_copy: true,
+            ..command.clone()
+        };
+        if self.network.keeps_commands {
+            self.network.kept_commands.push(copy.clone());
+        }
+        if !self.chance(self.network.faults.command_repeated) {
+            return;
+        }
+        for _ in 0..self.rng.gen_range(1..=COPIES_MAX) {
+            let delays = COPY_DELAYS_MS[self.rng.gen_range(0..COPY_DELAYS_MS.len())].clone();
+            let delay_ms = self.rng.gen_range(delays);
+            self.schedule(delay_ms, Action::DeliverCommand(copy.clone()));
+        }
+    }
+
+    /// Delivers a copy of every kept command again, in their order. Returns their number.
+    pub fn repeat_commands(&mut self) -> usize {
+        let copies = self.network.kept_commands.clone();
+        for copy in &copies {
+            self.schedule(1, Action::DeliverCommand(copy.clone()));
+        }
+        copies.len()
+    }
+
     /// Sends a worker's answer to a command, with a heartbeat on request.
     fn answer_command(
         &mut self,
--- a/crates/simulation/src/workers/tasks.rs
+++ b/crates/simulation/src/workers/tasks.rs
@@ -66,6 +66,9 @@
         }
         if phase == TaskPhase::Fetching {
             self.add_placement(name, &task);
+            if !self.skip_invariants {
+                self.check_first_run(name, &task, attempt);
+            }
             let fetch_ms = self.rng.gen_range(50..900);
             let change = PhaseChange {
                 worker: name.to_string(),
--- a/crates/xtask/src/known_red.rs
+++ b/crates/xtask/src/known_red.rs
@@ -12,6 +12,15 @@
 
 /// Largest number of lines of the list, so that failures are fixed and not collected.
 pub const MAX_LISTED: usize = 3;
+/// The fields of a line in the long form, each with its position.
+const LONG_FIELDS: [(usize, &str); 6] = [
+    (0, "test"),
+    (1, "command"),
+    (2, "seed"),
+    (3, "seen"),
+    (4, "cause"),
+    (5, "issue"),
+];
 
 /// The reason why the list is rejected or the check fails. Lines are counted from 1.
 #[derive(Debug, Error)]
@@ -39,6 +48,20 @@
         /// The line's number.
         line: usize,
     },
+    /// A line in the long form has further fields.
+    #[error("line {line}: more than the six fields test; command; seed; seen; cause; issue")]
+    TooManyFields {
+        /// The line's number.
+        line: usize,
+    },
+    /// The command of a line does not run its test.
+    #[error("line {line}: the command does not name {test}")]
+    CommandOfOtherTest {
+        /// The line's number.
+        line: usize,
+        /// The test.
+        test: Test,
+    },
     /// A test is on an earlier line, too.
     #[error("line {line}: {test} is listed twice")]
     Duplicate {
@@ -94,13 +117,20 @@
 pub struct KnownFailure {
     /// The test.
     pub test: Test,
+    /// The command that shows the failure, if the line has the long form.
+    pub command: Option<String>,
+    /// The seed with which the command shows it, or `none`.
+    pub seed: Option<String>,
+    /// What was seen.
+    pub seen: Option<String>,
     /// The cause of the failure.
     pub cause: String,
     /// The issue that tracks it.
     pub issue: String,
 }
 
-/// Parses the list, whose lines have the form `PACKAGE/TARGET/TEST, cause, issue`.
+/// Parses the list, whose lines have the form `PACKAGE/TARGET/TEST, cause, issue`, or
+/// `PACKAGE/TARGET/TEST; command; seed; seen; cause; issue`.
 ///
 /// # Errors
 ///
@@ -123,27 +153,81 @@
 }
 
 fn parse_line(line: usize, text: &str) -> Result<KnownFailure, KnownRedError> {
+    match text.contains(';') {
+        true => parse_long_line(line, text),
+        false => parse_short_line(line, text),
+    }
+}
+
+fn parse_short_line(line: usize, text: &str) -> Result<KnownFailure, KnownRedError> {
     let (test, rest) = text.split_once(',').unwrap_or((text, ""));
     let (cause, issue) = rest.rsplit_once(',').unwrap_or((rest, ""));
-    let fields = [("test", test), ("cause", cause), ("issue", issue)];
-    if let Some((field, _)) = fields.iter().find(|(_, value)| value.trim().is_empty()) {
-        return Err(KnownRedError::MissingField { line, field });
+    require_fields(line, &[("test", test), ("cause", cause), ("issue", issue)])?;
+    Ok(KnownFailure {
+        test: parse_test(line, test)?,
+        command: None,
+        seed: None,
+        seen: None,
+        cause: cause.trim().into(),
+        issue: issue.trim().into(),
+    })
+}
+
+fn parse_long_line(line: usize, text: &str) -> Result<KnownFailure, KnownRedError> {
+    let parts: Vec<&str> = text.split(';').collect();
+    if parts.len() > LONG_FIELDS.len() {
+        return Err(KnownRedError::TooManyFields { line });
+    }
+    let fields = LONG_FIELDS.map(|(index, name)| (name, parts.get(index).copied().unwrap_or("")));
+    require_fields(line, &fields)?;
+    let [test, command, seed, seen, cause, issue] = fields.map(|(_, value)| value.trim());
+    let test = parse_test(line, test)?;
+    if !command.contains(&test.name) {
+        return Err(KnownRedError::CommandOfOtherTest { line, test });
+    }
+    Ok(KnownFailure {
+        test,
+        command: Some(command.into()),
+        seed: Some(seed.into()),
+        seen: Some(seen.into()),
+        cause: cause.into(),
+        issue: issue.into(),
+    })
+}
+
+/// Fails with the first field that is empty.
+fn require_fields(line: usize, fields: &[(&'static str, &str)]) -> Result<(), KnownRedError> {
+    let missing = fields.iter().find(|(_, value)| value.trim().is_empty());
+    match missing {
+        Some((field, _)) => Err(KnownRedError::MissingField { line, field }),
+        None => Ok(()),
     }
-    let parts: Vec<&str> = test.trim().split('/').collect();
+}
+
+fn parse_test(line: usize, text: &str) -> Result<Test, KnownRedError> {
+    let parts: Vec<&str> = text.trim().split('/').collect();
     let [package, target, name] = parts[..] else {
         return Err(KnownRedError::TestName { line });
     };
-    Ok(KnownFailure {
-        test: Test {
-            package: package.into(),
-            target: target.into(),
-            name: name.into(),
-        },
-        cause: cause.trim().into(),
-        issue: issue.trim().into(),
+    Ok(Test {
+        package: package.into(),
+        target: target.into(),
+        name: name.into(),
     })
 }
 
+impl KnownFailure {
+    /// Returns all fields but the test, as they are printed.
+    fn details(&self) -> String {
+        let optional = [&self.command, &self.seed, &self.seen];
+        let fields = optional.into_iter().flatten();
+        let fields: Vec<&str> = (fields.chain([&self.cause, &self.issue]))
+            .map(String::as_str)
+            .collect();
+        fields.join("; ")
+    }
+}
+
 /// The results of `cargo test` for one package.
 #[derive(Debug, Default, PartialEq)]
 pub struct PackageRun {
@@ -234,8 +318,7 @@
             return Err(KnownRedError::NoSuchTest(known.test.clone()));
         };
         let result = if *passed { "passed" } else { "failed" };
-        let (cause, issue) = (&known.cause, &known.issue);
-        Ok(format!("known red: {test}: {result}; {cause}; {issue}"))
+        Ok(format!("known red: {test}: {result}; {}", known.details()))
     };
     listed.iter().map(line).collect()
 }
--- a/crates/xtask/tests/known_red.rs
+++ b/crates/xtask/tests/known_red.rs
@@ -50,6 +50,42 @@
     }
 }
 
+#[test]
+fn a_line_in_the_long_form_also_has_command_seed_and_what_was_seen() {
+    let line =
+        "p/t/a::b; FROM=7 cargo test -p p --test t a::b; 7; ran twice, once; late copy; issue 3";
+    let listed = parse_list(line).unwrap();
+    assert_eq!(listed[0].test.to_string(), "p/t/a::b");
+    assert_eq!(listed[0].seed.as_deref(), Some("7"));
+    assert_eq!(listed[0].seen.as_deref(), Some("ran twice, once"));
+    for (text, error) in [
+        ("p/t/a;", "line 1: command is missing"),
+        ("p/t/a; cargo test a; ; s; c; i", "line 1: seed is missing"),
+        ("p/t/a; cargo test a; 1; ; c; i", "line 1: seen is missing"),
+        ("p/t/a; cargo test a; 1; s; c", "line 1: issue is missing"),
+        (
+            "p/t/a; cargo test b; 1; s; c; i",
+            "line 1: the command does not name p/t/a",
+        ),
+        (
+            "p/t/a; cargo test a; 1; s; c; i; more",
+            "line 1: more than the six fields test; command; seed; seen; cause; issue",
+        ),
+        (
+            "t/a; cargo test a; 1; s; c; i",
+            "line 1: test is not PACKAGE/TARGET/TEST",
+        ),
+    ] {
+        assert_eq!(parse_list(text).unwrap_err().to_string(), error, "{text}");
+    }
+    let long = "glenmount-core/meetings/late; cargo test late; 7; overlap; late copy; issue 3";
+    let lines = evaluate_output(&parse_list(long).unwrap(), &output("FAILED", "ok"), false);
+    assert_eq!(
+        lines.unwrap(),
+        ["known red: glenmount-core/meetings/late: failed; cargo test late; 7; overlap; late copy; issue 3"]
+    );
+}
+
 #[test]
 fn a_listed_test_that_fails_is_printed_and_all_others_must_pass() {
     let lines = evaluate_output(&one_listed(), &output("FAILED", "ok"), false).unwrap();
