A worker forgets an attempt only under a token that fences copies of its start

Cause: a check on one path and not on another. Before a lost start is sent again the machine's token is raised, so that the lost one cannot arrive. Before a worker forgot an attempt that had arrived nothing was raised, since each command was sent once. Sent once is not delivered once: a copy of the direct command, with token and incarnation unchanged, began the forgotten attempt again.

Change: a worker is told to forget an attempt only in a reply whose token is higher than that of the attempt's start (workers/forgetting.rs). The start's token is on record with the assignment; a controller that does not know it uses the token that the worker reports with the attempt, which is at least as high since the worker has executed the start. The higher token is a raise of the shared term: one change for all machines, every 5 s while attempts wait, twice a second where they fill a quarter of a machine's share of its heartbeats. Replies carry it only to workers that are to forget something, and not within 1 s of the raise, so that starts on their way are not refused.

Why this works: a worker refuses any command under a token lower than the highest it has seen, however late. It executes the forget and takes its token in one step, and the token of each direct command that may have started the attempt is lower. Invariant 5 (starts) is what this touches; 3 and 4 hold as before: a higher term fences starts as a higher offset does, and the term never decreases.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -97,8 +97,9 @@
 /// that received the cancellation has not done so.
 pub const CASCADE_TAKEOVER_DELAY_MS: u64 = 1_500;
 /// Amount by which the shared term is raised once no task remains of cancellations that were answered at
-/// their commit. Terms start at 1 and a machine's token rises by 1 with each lost command, at most once a
-/// second, so that no term reaches this value in any other way.
+/// their commit. Terms start at 1, and rise by 1 at most twice a second while attempts wait to be forgotten; a
+/// machine's token rises by 1 with each lost command, at most once a second. A rolling upgrade, before whose end
+/// the term is raised by this amount, takes less than the months until it would be reached that way.
 pub const CONFIRMED_CANCELLATION_TERM: u64 = 1 << 24;
 /// Time that a cancellation waits for the tasks of its job to end. A stop takes a few milliseconds, its
 /// worker reports the end within 500 ms, and the result is recorded within 250 ms.
@@ -323,6 +324,14 @@
 /// An incarnation that no worker has, since they count from 1. A worker rejects a command for it, and the
 /// rejection shows that it is alive.
 pub const NO_INCARNATION: u64 = 0;
+/// Interval between two raises of the term while ended attempts wait to be forgotten.
+pub const FORGET_RAISE_INTERVAL_MS: u64 = 5_000;
+/// The same while they take up much of a machine's heartbeats.
+pub const FORGET_MIN_RAISE_INTERVAL_MS: u64 = 500;
+/// Time by which each controller leaves a raise of the term to those before it.
+pub const FORGET_RAISE_STAGGER_MS: u64 = 300;
+/// Time after a raise of the term within which starts under the previous one arrive at their workers.
+pub const FORGET_TERM_SETTLE_MS: u64 = 1_000;
 /// Time for which starts are sent with heartbeat replies after a direct command failed.
 pub const COMMAND_BACKOFF_MS: u64 = 8_000;
 /// Timeout of a direct command.
--- a/crates/core/src/constants/messages.rs
+++ b/crates/core/src/constants/messages.rs
@@ -10,6 +10,9 @@
 /// Size of the entries that all tasks assigned to a machine may have in its heartbeats. They take half of a
 /// request body: the other half is for tasks that have ended and that the worker has not been told to forget.
 pub const HEARTBEAT_ASSIGNED_BYTES: u64 = (REQUEST_BODY_MAX_BYTES - HEARTBEAT_BASE_BYTES) / 2;
+/// Size of the entries of attempts that wait to be forgotten from which on a machine does not wait for the usual
+/// interval.
+pub const FORGET_PRESSURE_BYTES: u64 = HEARTBEAT_ASSIGNED_BYTES / 4;
 /// Size of a message with commands to a worker, without these.
 pub const COMMAND_BASE_BYTES: u64 = 128;
 /// Size of a command without the id of its job: a task number of 5 digits, an attempt of 20, and a stop with
--- a/crates/core/src/controller/housekeeping.rs
+++ b/crates/core/src/controller/housekeeping.rs
@@ -35,6 +35,7 @@
         self.detect_failures();
         self.check_starts_of_lost_peers();
         self.fence_uncertain_claims();
+        self.raise_term_for_forgets();
         self.record_run_times();
         self.retry_instance_requests();
         self.remove_completed_requests();
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -142,7 +142,7 @@
                 outcome,
                 heartbeat,
             } => {
-                self.handle_command_result(machine, outcome);
+                self.handle_command_result(machine, outcome, heartbeat.as_deref());
                 if let Some(heartbeat) = heartbeat {
                     self.process_command_response(&heartbeat);
                 }
--- a/crates/core/src/controller/operations.rs
+++ b/crates/core/src/controller/operations.rs
@@ -67,6 +67,8 @@
     Instances,
     /// Records the first term.
     Term,
+    /// Raises the term, so that ended attempts may be forgotten.
+    RaiseTerm,
 }
 
 /// A task that a transaction claims for a machine, and the attempt.
--- a/crates/core/src/metrics.rs
+++ b/crates/core/src/metrics.rs
@@ -47,6 +47,14 @@
     pub conflicts: u64,
     pub results: u64,
     pub cloud_requests: u64,
+    /// Direct commands that a worker refused because of their token or incarnation.
+    pub commands_refused: u64,
+    /// Attempts that workers were told to forget.
+    pub forgets: u64,
+    /// Attempts listed in a heartbeat that wait for a higher token before they are forgotten.
+    pub forgets_deferred: u64,
+    /// Raises of the term that this controller sent.
+    pub term_raises: u64,
     /// Delay from a submission to its acceptance, both at this controller.
     acceptance_ms: DurationHistogram,
     /// Delay from the acceptance of a job to the claim of a task, by the times of day of the controllers.
@@ -70,6 +78,10 @@
             conflicts: 0,
             results: 0,
             cloud_requests: 0,
+            commands_refused: 0,
+            forgets: 0,
+            forgets_deferred: 0,
+            term_raises: 0,
             acceptance_ms: duration_histogram(),
             claim_ms: duration_histogram(),
             start_ms: duration_histogram(),
@@ -139,6 +151,10 @@
             conflicts = self.conflicts,
             results = self.results,
             cloud = self.cloud_requests,
+            commands_refused = self.commands_refused,
+            forgets = self.forgets,
+            forgets_deferred = self.forgets_deferred,
+            term_raises = self.term_raises,
             records,
             held,
             accepted_ms = summary(&self.acceptance_ms),
--- a/crates/core/src/safety_checks.rs
+++ b/crates/core/src/safety_checks.rs
@@ -45,6 +45,8 @@
     pub uncertain_outcomes: bool,
     /// A newer incarnation in the response to a direct command ends the attempts of earlier ones.
     pub incarnation: bool,
+    /// A worker is told to forget an attempt only under a token that fences every copy of its start.
+    pub fenced_forget: bool,
     /// Machines whose heartbeats reach no controller get no tasks, and services migrate off them.
     pub heartbeat_reachability: bool,
     /// Machines without an instance request are recorded only once they have responded to a probe.
@@ -81,6 +83,7 @@
             unanswered_transactions: true,
             uncertain_outcomes: true,
             incarnation: true,
+            fenced_forget: true,
             heartbeat_reachability: true,
             unmanaged_instances: true,
             batch_start_delay: true,
--- a/crates/core/src/state/list_watch.rs
+++ b/crates/core/src/state/list_watch.rs
@@ -199,6 +199,12 @@
             Key::RunTimes(class) => Some(*class),
             _ => None,
         };
+        if let (Key::Term, Record::Term(changed)) = (&key, &record) {
+            if self.cache.term() != Some(changed.term) {
+                tracing::debug!(term = changed.term, mod_revision, "term changed");
+                self.workers.forgetting.record_term_change(self.now);
+            }
+        }
         let fenced_machine = self.machine_with_raised_token(&key, &record);
         self.cache.put(key, mod_revision, record);
         if let Some(machine) = fenced_machine {
--- a/crates/core/src/state/responses.rs
+++ b/crates/core/src/state/responses.rs
@@ -106,14 +106,17 @@
                 ended_attempts,
             } => {
                 self.assignment_write_finished(operation, &response);
-                if committed {
+                if let StateResponse::Committed { revision } = response {
+                    for (task, attempt) in &ended_attempts {
+                        tracing::debug!(%task, attempt, revision, "result recorded");
+                    }
                     self.count_recorded_runs(ended_attempts);
                 }
                 self.handle_results_response(machines_to_start, deprovisions_machines, committed);
             }
             PendingOperation::Claim(claimed) => {
                 self.assignment_write_finished(operation, &response);
-                self.claim_written(&claimed, committed);
+                self.claim_written(&claimed, &response);
             }
             PendingOperation::Stop(stops) => {
                 self.assignment_write_finished(operation, &response);
@@ -149,6 +152,7 @@
             }
             PendingOperation::RemoveObsolete => self.cleanup.removal_in_flight = false,
             PendingOperation::Term => self.upgrade.term_in_flight = false,
+            PendingOperation::RaiseTerm => self.workers.forgetting.raise_in_flight = false,
             // Cloud operations: the controller handles their responses elsewhere.
             PendingOperation::Provision(_)
             | PendingOperation::Deprovision(_)
@@ -167,14 +171,15 @@
         self.handle_request_response(request, committed);
     }
 
-    fn claim_written(&mut self, claimed: &[ClaimedTask], committed: bool) {
-        if committed {
+    fn claim_written(&mut self, claimed: &[ClaimedTask], response: &StateResponse) {
+        if let StateResponse::Committed { revision } = response {
             for claim in claimed {
                 let (task, machine) = (&claim.task, &claim.machine);
                 self.workers
                     .starts
                     .record_claim_response(task, claim.attempt);
-                tracing::info!(%task, machine, "task claimed");
+                let attempt = claim.attempt;
+                tracing::info!(%task, attempt, machine, revision, "task claimed");
                 let accepted_at = self
                     .cache
                     .job(&task.job)
--- a/crates/core/src/workers/commands.rs
+++ b/crates/core/src/workers/commands.rs
@@ -2,7 +2,7 @@
 
 use crate::constants::{COMMAND_BACKOFF_MS, NO_INCARNATION};
 use crate::controller::{ClaimedTask, CommandOutcome, Controller, Effect};
-use crate::model::{DirectStart, TaskId, WorkerCommand};
+use crate::model::{DirectStart, TaskId, WorkerCommand, WorkerHeartbeat};
 use crate::scheduling::claims::StartChannel;
 use crate::state::MachineRecord;
 use crate::workers::command_size::split_into_messages;
@@ -29,10 +29,10 @@
         }
     }
 
-    /// Sends the starts of a committed claim. Each is sent only once: a second copy that arrives
-    /// late could start the task after the command to forget its result.
+    /// Sends the starts of a committed claim, each once and under the token on record. The network may deliver
+    /// further copies: workers are told to forget an attempt only under a token that fences these.
     pub(crate) fn send_starts(&mut self, claimed: &[ClaimedTask]) {
-        let mut by_machine: BTreeMap<String, (DirectStart, Vec<WorkerCommand>)> = BTreeMap::new();
+        let mut by_machine: BTreeMap<(String, DirectStart), Vec<WorkerCommand>> = BTreeMap::new();
         for claim in claimed {
             let assignment = self
                 .cache
@@ -46,14 +46,16 @@
                 .and_then(|assignment| assignment.direct_start)
                 .filter(|_| is_open)
             {
-                let entry = by_machine.entry(claim.machine.clone());
-                let (_, commands) = entry.or_insert((start, Vec::new()));
-                let (task, attempt) = (claim.task.clone(), claim.attempt);
-                tracing::info!(%task, attempt, machine = claim.machine, "start sent");
+                let commands = by_machine
+                    .entry((claim.machine.clone(), start))
+                    .or_default();
+                let (task, attempt, machine) = (claim.task.clone(), claim.attempt, &claim.machine);
+                let DirectStart { incarnation, token } = start;
+                tracing::info!(%task, attempt, machine, token, incarnation, delivery = "direct command", "start sent");
                 commands.push(WorkerCommand::Start { task, attempt });
             }
         }
-        for (id, (start, commands)) in by_machine {
+        for ((id, start), commands) in by_machine {
             self.emit_command(id, start.incarnation, start.token, commands);
         }
     }
@@ -102,7 +104,7 @@
         };
         let grace_s = self.grace_s(&task.job);
         let task = task.clone();
-        tracing::info!(%task, machine = id, reason, "stop sent");
+        tracing::info!(%task, attempt, machine = id, reason, "stop sent");
         let commands = vec![WorkerCommand::Stop {
             task,
             attempt,
@@ -139,8 +141,25 @@
         }
     }
 
-    /// Records the outcome of a direct command.
-    pub(crate) fn handle_command_result(&mut self, machine: String, outcome: CommandOutcome) {
+    /// Records the outcome of a direct command, and what its worker answered.
+    pub(crate) fn handle_command_result(
+        &mut self,
+        machine: String,
+        outcome: CommandOutcome,
+        answer: Option<&WorkerHeartbeat>,
+    ) {
+        if let Some(answer) = answer {
+            let (worker_token, incarnation) = (answer.token, answer.incarnation);
+            let sequence = answer.sequence;
+            tracing::debug!(
+                machine,
+                ?outcome,
+                worker_token,
+                incarnation,
+                sequence,
+                "direct command answered"
+            );
+        }
         match outcome {
             CommandOutcome::Accepted | CommandOutcome::Refused => {
                 self.record_worker_contact();
@@ -165,6 +184,8 @@
                 self.workers.observations.entry(&machine).probed_at = None;
             }
         }
+        let is_refused = outcome == CommandOutcome::Refused;
+        self.metrics.commands_refused += u64::from(is_refused);
         if outcome != CommandOutcome::Accepted {
             tracing::debug!(machine, ?outcome, "direct command failed");
             self.workers.observations.entry(&machine).command_failed_at = Some(self.now);
--- a/crates/core/src/workers/heartbeats.rs
+++ b/crates/core/src/workers/heartbeats.rs
@@ -94,6 +94,13 @@
             return;
         };
         if heartbeat.token > token {
+            let (machine, worker_token) = (&heartbeat.machine, heartbeat.token);
+            tracing::debug!(
+                machine,
+                token,
+                worker_token,
+                "heartbeat refused: its worker has a newer token"
+            );
             // The worker has a token of a newer term than the one in this controller's cache, so
             // this controller must not send commands to it.
             self.reply_to_worker(request, WorkerReply::Unavailable);
@@ -106,7 +113,10 @@
                     controller: Some(controller),
                 },
             );
-        } else if self.reconcile(&heartbeat) {
+            return;
+        }
+        let reconciled = self.reconcile(&heartbeat);
+        if reconciled.needs_start {
             self.hold_heartbeat(request, heartbeat, false);
         } else if let Some(controller) = self.handoff_target(&heartbeat) {
             self.reply_to_worker(
@@ -116,8 +126,10 @@
                 },
             );
         } else {
-            let commands = self.commands_for_reply(&heartbeat);
-            self.reply_with_commands(&heartbeat.machine, request, token, commands);
+            self.record_deferred_forgets(&heartbeat, token);
+            let token = self.reply_token(&heartbeat, token, reconciled.fences_start);
+            let commands = self.commands_for_reply(&heartbeat, token);
+            self.reply_with_commands(&heartbeat, request, token, commands);
         }
     }
 
--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -4,6 +4,7 @@
 pub mod command_size;
 mod commands;
 mod failure_detection;
+mod forgetting;
 mod handoff;
 mod heartbeats;
 mod machine_updates;
--- a/crates/core/src/workers/reconciliation.rs
+++ b/crates/core/src/workers/reconciliation.rs
@@ -17,8 +17,8 @@
 struct Findings {
     /// Attempts that run, if run times are learned.
     running: Vec<(TaskId, u64)>,
-    /// Attempts that ended, each with the delivery on which the proof is conditional, if on any.
-    ended: Vec<((TaskId, u64), AttemptOutcome, Option<StartDelivery>)>,
+    /// Attempts that ended, with the proofs.
+    ended: Vec<((TaskId, u64), Proof)>,
     /// Attempts to be stopped so that they save a checkpoint.
     checkpoints: Vec<(TaskId, u64)>,
     /// The highest token of the direct commands that were lost: the machine's token must be raised
@@ -28,17 +28,48 @@
     needs_start: bool,
 }
 
+/// The evidence that an attempt has ended or can no longer begin.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    outcome: AttemptOutcome,
+    evidence: Evidence,
+    /// The delivery on which the proof is conditional, if on any.
+    conditional_on: Option<StartDelivery>,
+}
+
+/// The kind of a proof.
+#[derive(Clone, Copy, Debug)]
+enum Evidence {
+    /// A heartbeat lists the attempt as exited.
+    ExitedInHeartbeat,
+    /// The response to a direct command lists the attempt as exited.
+    ExitedInCommandResponse,
+    /// The worker has a newer incarnation than the one that the start was for.
+    NewerIncarnation,
+    /// The worker does not list the attempt, whose start can no longer arrive.
+    FencedStart,
+}
+
+/// What the reply to a reconciled heartbeat is for, besides renewing the lease.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReplyNeeds {
+    /// It has to carry a start.
+    pub needs_start: bool,
+    /// It has to carry the machine's present token, which fences a start that was lost.
+    pub fences_start: bool,
+}
+
 impl Controller {
     /// Queues the ended attempts, checkpoints and record changes that a heartbeat gives evidence
-    /// of. Returns whether the reply has to carry a start. An old heartbeat proves as much as a new
-    /// one.
-    pub(super) fn reconcile(&mut self, heartbeat: &WorkerHeartbeat) -> bool {
+    /// of. Returns what the reply is for. An old heartbeat proves as much as a new one.
+    pub(super) fn reconcile(&mut self, heartbeat: &WorkerHeartbeat) -> ReplyNeeds {
+        self.record_exited_attempts(heartbeat);
         let findings = self.compare_with_assignments(heartbeat);
         for (task, attempt) in findings.running {
             self.observe_running_attempt(&task, attempt, heartbeat);
         }
-        for ((task, attempt), outcome, conditional_on) in findings.ended {
-            self.queue_result(task, attempt, outcome, conditional_on);
+        for ((task, attempt), proof) in findings.ended {
+            self.queue_result(task, attempt, &heartbeat.machine, proof);
         }
         let mut checkpoints = findings.checkpoints;
         if let Some(notice_s) = heartbeat
@@ -56,7 +87,10 @@
         self.write_back.checkpoints_due.extend(checkpoints);
         self.record_last_heartbeat(heartbeat);
         self.queue_machine_update(heartbeat, findings.fence_above);
-        findings.needs_start
+        ReplyNeeds {
+            needs_start: findings.needs_start,
+            fences_start: findings.fence_above.is_some(),
+        }
     }
 
     /// Compares the tasks of a heartbeat with the assignments of its machine.
@@ -91,16 +125,22 @@
             };
             let is_fenced = is_start_fenced(assignment, position, heartbeat.token);
             let is_wanted = assignment.stop_reason.is_none() && spec.is_some();
-            let outcome = match phase {
-                Some(TaskPhase::Exited(cause)) => Some(attempt_outcome(cause)),
-                None if predates_incarnation(assignment, position) || is_fenced && !is_wanted => {
-                    Some(AttemptOutcome::Terminated)
+            let proof = match phase {
+                Some(TaskPhase::Exited(cause)) => Some(Proof {
+                    outcome: attempt_outcome(cause),
+                    evidence: Evidence::ExitedInHeartbeat,
+                    conditional_on: None,
+                }),
+                None if predates_incarnation(assignment, position) => {
+                    Some(Proof::of_absence(Evidence::NewerIncarnation, assignment))
+                }
+                None if is_fenced && !is_wanted => {
+                    Some(Proof::of_absence(Evidence::FencedStart, assignment))
                 }
                 _ => None,
             };
-            if let Some(outcome) = outcome {
-                let conditional_on = phase.is_none().then_some(assignment.delivery());
-                findings.ended.push((attempt, outcome, conditional_on));
+            if let Some(proof) = proof {
+                findings.ended.push((attempt, proof));
             } else if is_running
                 && heartbeat.notice_s.is_some()
                 && assignment.stop_reason.is_none()
@@ -129,6 +169,7 @@
         if let Some(last) = last.filter(|last| last.position < heartbeat.position()) {
             last.task_bytes = heartbeat.task_bytes();
         }
+        self.add_exited_attempts(heartbeat);
         let mut reported = BTreeSet::new();
         for status in &heartbeat.tasks {
             let assigned = self.cache.assignment(&heartbeat.machine, &status.task);
@@ -139,8 +180,13 @@
                 reported.insert(attempt);
             }
             if let (true, TaskPhase::Exited(cause)) = (is_assigned, status.phase) {
-                let outcome = attempt_outcome(cause);
-                self.queue_result(status.task.clone(), status.attempt, outcome, None);
+                let proof = Proof {
+                    outcome: attempt_outcome(cause),
+                    evidence: Evidence::ExitedInCommandResponse,
+                    conditional_on: None,
+                };
+                let (task, machine) = (status.task.clone(), &heartbeat.machine);
+                self.queue_result(task, status.attempt, machine, proof);
             }
         }
         if self.settings.checks.incarnation {
@@ -148,15 +194,17 @@
             // forgotten all tasks of earlier incarnations, and refuses their starts. For machines
             // whose heartbeats reach no controller this is the only evidence.
             let position = heartbeat.position();
-            let ended: Vec<(TaskId, u64, StartDelivery)> =
-                (self.cache.assignments(&heartbeat.machine))
-                    .filter(|(_, p)| predates_incarnation(&p.assignment, position))
-                    .map(|(task, p)| (task.clone(), &p.assignment))
-                    .filter(|(task, a)| !reported.contains(&(task.clone(), a.attempt)))
-                    .map(|(task, a)| (task, a.attempt, a.delivery()))
-                    .collect();
-            for (task, attempt, delivery) in ended {
-                self.queue_result(task, attempt, AttemptOutcome::Terminated, Some(delivery));
+            let ended: Vec<(TaskId, u64, Proof)> = (self.cache.assignments(&heartbeat.machine))
+                .filter(|(_, p)| predates_incarnation(&p.assignment, position))
+                .map(|(task, p)| (task.clone(), &p.assignment))
+                .filter(|(task, a)| !reported.contains(&(task.clone(), a.attempt)))
+                .map(|(task, a)| {
+                    let proof = Proof::of_absence(Evidence::NewerIncarnation, a);
+                    (task, a.attempt, proof)
+                })
+                .collect();
+            for (task, attempt, proof) in ended {
+                self.queue_result(task, attempt, &heartbeat.machine, proof);
             }
         }
         // Fence lost direct commands before their starts are sent again.
@@ -185,16 +233,19 @@
     }
 
     /// Queues the proof that an attempt has ended until it is recorded.
-    fn queue_result(
-        &mut self,
-        task: TaskId,
-        attempt: u64,
-        outcome: AttemptOutcome,
-        conditional_on: Option<StartDelivery>,
-    ) {
+    fn queue_result(&mut self, task: TaskId, attempt: u64, machine: &str, proof: Proof) {
+        let Proof {
+            outcome,
+            evidence,
+            conditional_on,
+        } = proof;
         self.observe_run_end(&task, attempt, outcome);
         let key = (task, attempt);
-        self.metrics.results += u64::from(!self.write_back.results.contains_key(&key));
+        if !self.write_back.results.contains_key(&key) {
+            self.metrics.results += 1;
+            let task = &key.0;
+            tracing::debug!(%task, attempt, machine, ?outcome, ?evidence, "attempt ended");
+        }
         let result = EndedAttempt {
             outcome,
             at: self.now,
@@ -223,6 +274,17 @@
     }
 }
 
+impl Proof {
+    /// Returns the proof that an attempt which its worker does not list never runs, as its start was delivered.
+    fn of_absence(evidence: Evidence, assignment: &Assignment) -> Proof {
+        Proof {
+            outcome: AttemptOutcome::Terminated,
+            evidence,
+            conditional_on: Some(assignment.delivery()),
+        }
+    }
+}
+
 /// Returns the outcome of an attempt whose process exited.
 fn attempt_outcome(cause: ExitCause) -> AttemptOutcome {
     match cause {
--- a/crates/core/src/workers/registry.rs
+++ b/crates/core/src/workers/registry.rs
@@ -2,6 +2,7 @@
 
 use crate::constants::DELETED_MACHINES_MAX;
 use crate::model::{HeartbeatPosition, Millis};
+use crate::workers::forgetting::ForgetTracker;
 use crate::workers::heartbeats::HeldHeartbeat;
 use crate::workers::observations::MachineObservations;
 use crate::workers::reachability::WorkerReachability;
@@ -52,6 +53,8 @@
     pub(crate) observations: MachineObservations,
     /// Starts that no heartbeat has reported yet.
     pub(crate) starts: StartTracker,
+    /// Exited attempts that workers have not been told to forget.
+    pub(crate) forgetting: ForgetTracker,
     /// Whether workers reach this controller.
     pub(crate) reachability: WorkerReachability,
     /// Machines that late heartbeats must not add again.
@@ -78,6 +81,7 @@
             last_heartbeats: HashMap::new(),
             observations: MachineObservations::new(),
             starts: StartTracker::default(),
+            forgetting: ForgetTracker::default(),
             reachability: WorkerReachability::new(now),
             recently_deleted: RecentlyDeleted::default(),
             redirected_at: HashMap::new(),
--- a/crates/core/src/workers/replies.rs
+++ b/crates/core/src/workers/replies.rs
@@ -37,8 +37,12 @@
             .collect()
     }
 
-    /// Returns the commands for a worker, all derived from committed records.
-    pub(super) fn commands_for_reply(&self, heartbeat: &WorkerHeartbeat) -> Vec<WorkerCommand> {
+    /// Returns the commands for a worker in a reply under a token, all derived from committed records.
+    pub(super) fn commands_for_reply(
+        &self,
+        heartbeat: &WorkerHeartbeat,
+        token: u64,
+    ) -> Vec<WorkerCommand> {
         let id = &heartbeat.machine;
         let position = heartbeat.position();
         let mut commands = Vec::new();
@@ -53,11 +57,13 @@
             }
             let job = self.cache.job(&status.task.job);
             match (status.phase, assignment) {
-                (TaskPhase::Exited(_), None) => commands.push(WorkerCommand::Forget {
-                    task: status.task.clone(),
-                    attempt: status.attempt,
-                }),
-                (TaskPhase::Exited(_), Some(_)) => {}
+                (TaskPhase::Exited(_), None) if self.may_forget(heartbeat, status, token) => {
+                    commands.push(WorkerCommand::Forget {
+                        task: status.task.clone(),
+                        attempt: status.attempt,
+                    });
+                }
+                (TaskPhase::Exited(_), _) => {}
                 (phase, assignment) => {
                     let has_job_ended = job.is_none_or(|j| j.open_spec().is_none());
                     let is_stopped =
@@ -119,29 +125,35 @@
         let Some(held) = self.workers.held_heartbeats.remove(id) else {
             return;
         };
-        let commands = self.commands_for_reply(&held.heartbeat);
-        self.reply_with_commands(id, held.request, token, commands);
+        self.record_deferred_forgets(&held.heartbeat, token);
+        let commands = self.commands_for_reply(&held.heartbeat, token);
+        self.reply_with_commands(&held.heartbeat, held.request, token, commands);
     }
 
     /// Replies to a heartbeat with commands, and logs the starts and stops.
     pub(super) fn reply_with_commands(
         &mut self,
-        id: &str,
+        heartbeat: &WorkerHeartbeat,
         request: RequestId,
         token: u64,
         mut commands: Vec<WorkerCommand>,
     ) {
+        let machine = &heartbeat.machine;
+        let (incarnation, worker_token) = (heartbeat.incarnation, heartbeat.token);
         // Commands beyond the limit are due again with the next heartbeat, starts included.
         commands.truncate(count_fitting(&commands));
         for command in &commands {
             match command {
                 WorkerCommand::Start { task, attempt } => {
-                    tracing::info!(%task, attempt, machine = id, "start sent");
+                    tracing::info!(%task, attempt, machine, token, incarnation, delivery = "heartbeat reply", "start sent");
                 }
                 WorkerCommand::Stop { task, attempt, .. } => {
-                    tracing::info!(%task, attempt, machine = id, "stop sent");
+                    tracing::info!(%task, attempt, machine, token, incarnation, "stop sent");
+                }
+                WorkerCommand::Forget { task, attempt } => {
+                    self.metrics.forgets += 1;
+                    tracing::debug!(%task, attempt, machine, token, incarnation, worker_token, "forget sent");
                 }
-                WorkerCommand::Forget { .. } => {}
             }
         }
         self.reply_to_worker(request, WorkerReply::Commands { token, commands });
--- a/crates/core/tests/scenarios/random_faults.rs
+++ b/crates/core/tests/scenarios/random_faults.rs
@@ -35,7 +35,8 @@
             cloud_answer_lost: 0.2,
             command_lost: 0.05,
             command_late: 0.05,
-            command_repeated: 0.0,
+            command_repeated: 0.05,
+            transaction_repeated: 0.05,
         };
         let mut jobs: Vec<String> = Vec::new();
         for step in 0..150 {
--- a/crates/core/tests/scenarios/safety_guards.rs
+++ b/crates/core/tests/scenarios/safety_guards.rs
@@ -261,6 +261,8 @@
         let mut sim = simulation_with_checks(checks, 996, 3, 12);
         (sim.settings.heartbeat_interval_ms, sim.settings.lease_ms) = (5_000, 26_500);
         sim.cloud.capacity = 0;
+        // A raise of the term for other attempts would fence doubtful claims as well.
+        sim.settings.checks.fenced_forget = checks.uncertain_outcomes;
         sim.run(15_000);
         sim.network.faults.transaction_answer_lost = 0.5;
         let mut total_ms = 0;
@@ -279,6 +281,23 @@
     assert!(cost.as_ref().is_ok_and(|ms| *ms > 2_400), "{cost:?}");
 }
 
+/// A worker has forgotten a completed task under the token of its start, and a copy of the start arrives.
+#[test]
+fn without_a_fenced_forget_a_copy_runs_a_task_again() {
+    let cost = assert_check_needed("forget", 0, |checks| {
+        let mut sim = simulation_with_checks(checks, 998, 3, 2);
+        sim.network.keeps_commands = true;
+        sim.run(6_000);
+        sim.submit(0, job("j-1", 2));
+        sim.run_until(20_000, "done", |sim| sim.completed_tasks.len() == 2);
+        sim.run(20_000);
+        sim.repeat_commands();
+        sim.run(5_000);
+        0
+    });
+    assert_violates(cost, "started_again");
+}
+
 /// A team's limit is lowered while a claim is in flight. Without the condition on the configuration the claim still
 /// commits.
 #[test]
--- a/crates/simulation/src/day.rs
+++ b/crates/simulation/src/day.rs
@@ -326,6 +326,7 @@
         "unanswered" => &mut checks.unanswered_transactions,
         "doubt" => &mut checks.uncertain_outcomes,
         "session" => &mut checks.incarnation,
+        "forget" => &mut checks.fenced_forget,
         "mute" => &mut checks.heartbeat_reachability,
         "strangers" => &mut checks.unmanaged_instances,
         "begins" => &mut checks.batch_start_delay,
--- a/crates/simulation/src/effects.rs
+++ b/crates/simulation/src/effects.rs
@@ -25,7 +25,7 @@
 const PARTITION_COMMAND_TIMEOUT_MS: u64 = 1_200;
 
 /// Returns whether one of the commands is a start.
-fn has_start(commands: &[WorkerCommand]) -> bool {
+pub(crate) fn has_start(commands: &[WorkerCommand]) -> bool {
     commands
         .iter()
         .any(|command| matches!(command, WorkerCommand::Start { .. }))
--- a/crates/simulation/src/metrics.rs
+++ b/crates/simulation/src/metrics.rs
@@ -8,6 +8,12 @@
 /// Counters and times since the start of a simulation.
 #[derive(Default)]
 pub struct Metrics {
+    /// Number of direct commands with starts that a worker refused, copies apart.
+    pub refused_starts: u32,
+    /// Number of copies of committed transactions that arrived.
+    pub repeated_transactions: u32,
+    /// Number of them that committed once more.
+    pub repeated_commits: u32,
     /// Number of tasks that workers started.
     pub starts: u32,
     /// Number of lost replies with start commands.
--- a/crates/simulation/src/network.rs
+++ b/crates/simulation/src/network.rs
@@ -14,6 +14,8 @@
     pub transaction_answer_lost: f64,
     /// The state store executes a transaction seconds later, after its sender has timed out.
     pub transaction_late: f64,
+    /// A transaction that the state store has committed arrives again, from at once to minutes later.
+    pub transaction_repeated: f64,
     /// An answer of the state store takes up to a second, so that the watch can overtake it.
     pub answer_slow: f64,
     /// A worker's heartbeat is lost.
--- a/crates/simulation/src/random_faults.rs
+++ b/crates/simulation/src/random_faults.rs
@@ -214,6 +214,8 @@
             command_late: self.one_of([0.0, 0.3]),
             reply_lost: self.one_of([0.0, 0.2]),
             answer_slow: self.one_of([0.0, 0.5]),
+            command_repeated: self.one_of([0.0, 0.3]),
+            transaction_repeated: self.one_of([0.0, 0.2]),
             ..FaultRates::default()
         };
     }
--- a/crates/simulation/src/state_store.rs
+++ b/crates/simulation/src/state_store.rs
@@ -7,6 +7,7 @@
 use glenmount_core::state::{CasTransaction, Key, Record};
 use rand::Rng;
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 /// Delay after which a throttled request is retried.
 const THROTTLE_RETRY_MS: u64 = 150;
@@ -14,6 +15,8 @@
 const ANSWER_LATENCY_MS: u64 = 3;
 /// Delay after which an unreachable watch is retried.
 const WATCH_RETRY_MS: u64 = 200;
+/// Delay after which a copy of a committed transaction arrives.
+const TRANSACTION_COPY_DELAY_MS: Range<u64> = 1..120_000;
 /// Maximum number of conditions in a transaction for each change of its limit.
 const CONDITIONS_PER_CHANGE: usize = 4;
 
@@ -26,6 +29,8 @@
     AnswerLost,
     /// The state store executes the request after these milliseconds, when the controller has timed out.
     Late(u64),
+    /// The request is a copy of a transaction that has committed.
+    Copy,
 }
 
 /// A request of a controller to the state store.
@@ -161,12 +166,21 @@
             self.schedule(THROTTLE_RETRY_MS, Action::ExecuteStateRequest(request));
             return;
         }
+        let copy = self.draw_transaction_copy(&request);
         let response = match self.state.is_down {
             true => StateResponse::Unavailable,
             false => {
                 self.execute_state_operation(request.operation, self.is_previous_version(process))
             }
         };
+        let is_committed = matches!(response, StateResponse::Committed { .. });
+        if request.fate == RequestFate::Copy {
+            self.metrics.repeated_transactions += 1;
+            self.metrics.repeated_commits += u32::from(is_committed);
+        } else if let Some(copy) = copy.filter(|_| is_committed) {
+            let delay_ms = self.rng.gen_range(TRANSACTION_COPY_DELAY_MS);
+            self.schedule(delay_ms, Action::ExecuteStateRequest(copy));
+        }
         if request.fate != RequestFate::Normal {
             return;
         }
@@ -191,6 +205,19 @@
         );
     }
 
+    /// Returns a copy of a transaction with changes that arrives again once it has committed, if the fault draws it.
+    fn draw_transaction_copy(&mut self, request: &StateRequest) -> Option<StateRequest> {
+        let has_changes = matches!(&request.operation,
+            StateOperation::Transaction(transaction) if !transaction.changes.is_empty());
+        let is_repeated = has_changes
+            && request.fate != RequestFate::Copy
+            && self.chance(self.network.faults.transaction_repeated);
+        is_repeated.then(|| StateRequest {
+            fate: RequestFate::Copy,
+            ..request.clone()
+        })
+    }
+
     /// Executes an operation of a controller of the current or the previous version.
     pub(crate) fn execute_state_operation(
         &mut self,
--- a/crates/simulation/src/workers/commands.rs
+++ b/crates/simulation/src/workers/commands.rs
@@ -1,5 +1,6 @@
 //! Commands that controllers send directly to workers.
 
+use crate::effects::has_start;
 use crate::network::command_unanswered;
 use crate::{Action, ProcessId, Simulation};
 use glenmount_core::controller::{CommandOutcome, Event};
@@ -48,6 +49,7 @@
         if command.fencing_token < worker.fencing_token || command.incarnation != worker.incarnation
         {
             if !is_late {
+                self.metrics.refused_starts += u32::from(has_start(&command.commands));
                 self.answer_command(
                     command.process,
                     command.worker,
