A command that a worker refused by its token no longer stops direct starts

Callers saw nothing of it yet: a refusal (409) counted like a command without an answer, so for 8 s starts to that machine went with the replies to its heartbeats, up to 5 s each. Since the term rises while attempts wait to be forgotten, a start claimed under the earlier term may be refused. The answer shows the worker's token and incarnation: if these are known here by now, the next command is accepted, and direct starts go on. Otherwise starts go with heartbeats as before.

--- a/crates/core/src/workers/commands.rs
+++ b/crates/core/src/workers/commands.rs
@@ -113,6 +113,13 @@
         self.send_command(id.to_string(), commands);
     }
 
+    /// Returns whether a worker that refused a command accepts one under what is known of it now.
+    fn accepts_next_command(&self, answer: &WorkerHeartbeat) -> bool {
+        let token = self.fencing_token(&answer.machine);
+        let incarnation = self.liveness(&answer.machine).incarnation();
+        token.is_some_and(|token| token >= answer.token) && incarnation == Some(answer.incarnation)
+    }
+
     /// Returns the seconds that a task gets to save a checkpoint when it is stopped.
     pub(super) fn grace_s(&self, job: &str) -> f64 {
         let spec = self.cache.open_job(job);
@@ -186,6 +193,9 @@
         }
         let is_refused = outcome == CommandOutcome::Refused;
         self.metrics.commands_refused += u64::from(is_refused);
+        if is_refused && answer.is_some_and(|answer| self.accepts_next_command(answer)) {
+            return;
+        }
         if outcome != CommandOutcome::Accepted {
             tracing::debug!(machine, ?outcome, "direct command failed");
             self.workers.observations.entry(&machine).command_failed_at = Some(self.now);
