--- a/crates/core/src/jobs/cleanup.rs
+++ b/crates/core/src/jobs/cleanup.rs
@@ -150,6 +150,12 @@
     /// Drops the observations of machines that have been deleted.
     pub(crate) fn forget_deleted_machines(&mut self) {
         let cache = &self.cache;
+        let (last_heartbeats, now) = (&self.workers.last_heartbeats, self.now);
+        let recent_ms = 2 * self.settings.heartbeat_due_ms();
+        self.workers.forgetting.retain_machines(|id| {
+            let last = last_heartbeats.get(id);
+            last.is_some_and(|last| now < last.at + recent_ms)
+        });
         self.workers
             .observations
             .retain_recorded(|id| cache.machine(id).is_some());
--- a/crates/core/src/state/responses.rs
+++ b/crates/core/src/state/responses.rs
@@ -8,6 +8,7 @@
 use crate::state::formats;
 use crate::state::list_watch::ChangeOrigin;
 use crate::state::{CasTransaction, JobPhase, Key, Record};
+use crate::workers::starts::Attempt;
 
 /// Delay of the next scheduling pass after a transaction with instance requests that did not
 /// commit.
@@ -106,10 +107,8 @@
                 ended_attempts,
             } => {
                 self.assignment_write_finished(operation, &response);
-                if let StateResponse::Committed { revision } = response {
-                    for (task, attempt) in &ended_attempts {
-                        tracing::debug!(%task, attempt, revision, "result recorded");
-                    }
+                self.log_recorded_results(&ended_attempts, &response);
+                if committed {
                     self.count_recorded_runs(ended_attempts);
                 }
                 self.handle_results_response(machines_to_start, deprovisions_machines, committed);
@@ -171,6 +170,14 @@
         self.handle_request_response(request, committed);
     }
 
+    fn log_recorded_results(&self, ended_attempts: &[Attempt], response: &StateResponse) {
+        if let StateResponse::Committed { revision } = response {
+            for (task, attempt) in ended_attempts {
+                tracing::debug!(%task, attempt, revision, "result recorded");
+            }
+        }
+    }
+
     fn claim_written(&mut self, claimed: &[ClaimedTask], response: &StateResponse) {
         if let StateResponse::Committed { revision } = response {
             for claim in claimed {
--- a/crates/core/src/workers/forgetting.rs
+++ b/crates/core/src/workers/forgetting.rs
@@ -145,10 +145,15 @@
         Some(self.term_changed_at + interval_ms)
     }
 
-    /// Drops what is known of machines whose workers no longer report here.
-    pub fn prune(&mut self, oldest_listed_at: Millis, reports_here: impl Fn(&str) -> bool) {
+    /// Drops what waits on machines that have not listed it since a time. Returns on how many something waits.
+    fn retain_deferred(&mut self, listed_since: Millis) -> usize {
         self.deferred
-            .retain(|_, forgets| forgets.listed_at >= oldest_listed_at);
+            .retain(|_, forgets| forgets.listed_at >= listed_since);
+        self.deferred.len()
+    }
+
+    /// Drops what is known of machines whose workers no longer report here.
+    pub fn retain_machines(&mut self, reports_here: impl Fn(&str) -> bool) {
         self.exited.retain(|machine, _| reports_here(machine));
     }
 }
@@ -271,15 +276,13 @@
         let Some(term) = self.cache.term().filter(|_| is_due) else {
             return;
         };
-        let oldest_listed_at = self
+        let listed_since = self
             .now
             .saturating_sub(2 * self.settings.heartbeat_due_ms());
-        self.prune_forgets(oldest_listed_at);
-        let is_needed = !self.workers.forgetting.deferred.is_empty();
-        if !is_needed || self.workers.forgetting.raise_in_flight || self.changes_left() == 0 {
+        let machines = self.workers.forgetting.retain_deferred(listed_since);
+        if machines == 0 || self.workers.forgetting.raise_in_flight || self.changes_left() == 0 {
             return;
         }
-        let machines = self.workers.forgetting.deferred.len();
         tracing::debug!(
             term,
             machines,
@@ -296,12 +299,4 @@
             RequestClass::Result,
         );
     }
-
-    fn prune_forgets(&mut self, oldest_listed_at: Millis) {
-        let last_heartbeats = &self.workers.last_heartbeats;
-        self.workers.forgetting.prune(oldest_listed_at, |machine| {
-            let last = last_heartbeats.get(machine);
-            last.is_some_and(|last| last.at >= oldest_listed_at)
-        });
-    }
 }
