Logs: direct commands with their token, stops of cancelled jobs, reads and answers

An on-call engineer could not tell under which token a direct command went, why a task of a cancelled job was stopped, what a linearizable read returned, and from which revision a user was answered.

--- a/crates/core/src/jobs/requests.rs
+++ b/crates/core/src/jobs/requests.rs
@@ -135,7 +135,9 @@
 
     /// Answers a request, unless it was answered before.
     pub(crate) fn reply_to_user(&mut self, request: RequestId, reply: UserReply) {
-        if self.requests.open.remove(&request).is_some() {
+        if let Some(answered) = self.requests.open.remove(&request) {
+            let (job, cached_revision) = (&answered.job, self.cache.revision);
+            tracing::debug!(job, cached_revision, ?reply, "request answered");
             self.emit(Effect::User { request, reply });
         }
     }
--- a/crates/core/src/state/reads.rs
+++ b/crates/core/src/state/reads.rs
@@ -127,6 +127,13 @@
             }
             return;
         };
+        let (cached_revision, count) = (self.cache.revision, requests.len());
+        tracing::debug!(
+            revision,
+            cached_revision,
+            requests = count,
+            "linearizable read completed"
+        );
         if revision > self.cache.revision && self.list_watch.watch_lag_since.is_none() {
             self.list_watch.watch_lag_since = Some(self.now);
         }
--- a/crates/core/src/workers/commands.rs
+++ b/crates/core/src/workers/commands.rs
@@ -72,6 +72,14 @@
             return;
         };
         for commands in split_into_messages(commands) {
+            let count = commands.len();
+            tracing::debug!(
+                machine,
+                token,
+                incarnation,
+                commands = count,
+                "direct command sent"
+            );
             self.emit(Effect::Command {
                 machine: machine.clone(),
                 address: address.clone(),
@@ -131,15 +139,16 @@
     pub(crate) fn send_job_stops(&mut self, job: &str) {
         let mut stops: BTreeMap<String, Vec<WorkerCommand>> = BTreeMap::new();
         for (index, assignment) in self.cache.chunks_of(job).flat_map(|(_, c)| c.assigned()) {
+            let job = job.to_string();
+            let (task, attempt) = (TaskId { job, index }, assignment.attempt);
+            let (machine, reason) = (&assignment.machine, "cancelled");
+            tracing::debug!(%task, attempt, machine, reason, "stop sent");
             stops
-                .entry(assignment.machine.clone())
+                .entry(machine.clone())
                 .or_default()
                 .push(WorkerCommand::Stop {
-                    task: TaskId {
-                        job: job.to_string(),
-                        index,
-                    },
-                    attempt: assignment.attempt,
+                    task,
+                    attempt,
                     grace_s: 0.0,
                 });
         }
