Logs: the outcome of every direct command, also of those whose answer is not read

Most answers to starts are not read, so that a line for answers alone missed them. The line has the outcome of each command now, and the worker's token as far as known.

--- a/crates/core/src/workers/commands.rs
+++ b/crates/core/src/workers/commands.rs
@@ -164,18 +164,17 @@
         outcome: CommandOutcome,
         answer: Option<&WorkerHeartbeat>,
     ) {
-        if let Some(answer) = answer {
-            let (worker_token, incarnation) = (answer.token, answer.incarnation);
-            let sequence = answer.sequence;
-            tracing::debug!(
-                machine,
-                ?outcome,
-                worker_token,
-                incarnation,
-                sequence,
-                "direct command answered"
-            );
-        }
+        let worker_token = answer.map(|answer| answer.token);
+        let incarnation = answer.map(|answer| answer.incarnation);
+        let sequence = answer.map(|answer| answer.sequence);
+        tracing::debug!(
+            machine,
+            ?outcome,
+            worker_token,
+            incarnation,
+            sequence,
+            "direct command answered"
+        );
         match outcome {
             CommandOutcome::Accepted | CommandOutcome::Refused => {
                 self.record_worker_contact();
