Forgets: one way to find the assignment of a listed attempt, and less work per heartbeat

The lookup of the assignment that belongs to an attempt in a heartbeat stood in four places; assignment_of serves all. Whether a result is on record is asked of exited attempts only, where each running one cost a lookup, twice a heartbeat. record_exited has no branches that cannot be reached. The simulation copies a command only if it is kept or repeated.

--- a/crates/core/src/workers/forgetting.rs
+++ b/crates/core/src/workers/forgetting.rs
@@ -47,7 +47,9 @@
 /// What this controller knows of the exited attempts of the workers that report to it.
 #[derive(Debug, Default)]
 pub(crate) struct ForgetTracker {
+    /// Exited attempts by machine.
     exited: HashMap<String, ExitedAttempts>,
+    /// What waits for a higher token, by machine.
     deferred: BTreeMap<String, DeferredForgets>,
     /// When the term last changed in this controller's cache.
     term_changed_at: Millis,
@@ -69,19 +71,9 @@
         status: &TaskStatus,
         start_token: u64,
     ) {
-        if !self.exited.contains_key(&heartbeat.machine) {
-            let machine = heartbeat.machine.clone();
-            self.exited.insert(machine, ExitedAttempts::default());
-        }
-        let Some(by_task) = self.exited.get_mut(&heartbeat.machine) else {
-            return;
-        };
-        if !by_task.contains_key(&status.task) {
-            by_task.insert(status.task.clone(), Vec::new());
-        }
+        let by_task = self.exited.entry(heartbeat.machine.clone()).or_default();
+        let attempts = by_task.entry(status.task.clone()).or_default();
         let listed_in = heartbeat.position();
-        let attempts = by_task.get_mut(&status.task);
-        let Some(attempts) = attempts else { return };
         match attempts.iter_mut().find(|a| a.attempt == status.attempt) {
             Some(known) => {
                 known.start_token = known.start_token.min(start_token);
@@ -181,10 +173,7 @@
     /// one direct command at most, under the token on record; one that a reply to a heartbeat carries was fenced
     /// before that was recorded.
     fn recorded_start_token(&self, heartbeat: &WorkerHeartbeat, status: &TaskStatus) -> u64 {
-        let placed = self.cache.assignment(&heartbeat.machine, &status.task);
-        let assignment = placed
-            .map(|placed| &placed.assignment)
-            .filter(|assignment| assignment.attempt == status.attempt);
+        let assignment = self.assignment_of(heartbeat, status);
         let delivery = assignment.map(|assignment| assignment.delivery());
         match delivery.map(|delivery| (delivery.direct, delivery.reply)) {
             Some((Some(direct), _)) => direct.token,
@@ -210,10 +199,8 @@
         heartbeat: &WorkerHeartbeat,
         status: &TaskStatus,
     ) -> bool {
-        let placed = self.cache.assignment(&heartbeat.machine, &status.task);
-        let is_assigned = placed.is_some_and(|placed| placed.assignment.attempt == status.attempt);
         matches!(status.phase, TaskPhase::Exited(_))
-            && !is_assigned
+            && self.assignment_of(heartbeat, status).is_none()
             && self.is_claim_outcome_known(&status.task, status.attempt)
     }
 
--- a/crates/core/src/workers/reconciliation.rs
+++ b/crates/core/src/workers/reconciliation.rs
@@ -5,7 +5,9 @@
 
 use crate::constants::{LIKELY_END_PROBABILITY, NOTICE_MARGIN_MS};
 use crate::controller::Controller;
-use crate::model::{ExitCause, HeartbeatPosition, Millis, TaskId, TaskPhase, WorkerHeartbeat};
+use crate::model::{
+    ExitCause, HeartbeatPosition, Millis, TaskId, TaskPhase, TaskStatus, WorkerHeartbeat,
+};
 use crate::scheduling::releases::AttemptOutcome;
 use crate::state::{Assignment, StartDelivery};
 use crate::workers::results::EndedAttempt;
@@ -172,8 +174,7 @@
         self.add_exited_attempts(heartbeat);
         let mut reported = BTreeSet::new();
         for status in &heartbeat.tasks {
-            let assigned = self.cache.assignment(&heartbeat.machine, &status.task);
-            let is_assigned = assigned.is_some_and(|p| p.assignment.attempt == status.attempt);
+            let is_assigned = self.assignment_of(heartbeat, status).is_some();
             if is_assigned {
                 let attempt = (status.task.clone(), status.attempt);
                 self.workers.starts.record_reported(&attempt);
@@ -257,6 +258,17 @@
         }
     }
 
+    /// Returns the assignment on record of an attempt that a worker lists.
+    pub(super) fn assignment_of(
+        &self,
+        heartbeat: &WorkerHeartbeat,
+        status: &TaskStatus,
+    ) -> Option<&Assignment> {
+        let placed = self.cache.assignment(&heartbeat.machine, &status.task);
+        let assignment = placed.map(|placed| &placed.assignment);
+        assignment.filter(|assignment| assignment.attempt == status.attempt)
+    }
+
     /// Returns whether the state cache shows the outcome of an attempt's claim: the chunk has
     /// changed since the revision on which the claim was conditional, or the job is over. Before
     /// that, a peer's committed claim may not have reached this cache yet.
--- a/crates/core/src/workers/replies.rs
+++ b/crates/core/src/workers/replies.rs
@@ -47,11 +47,7 @@
         let position = heartbeat.position();
         let mut commands = Vec::new();
         for status in &heartbeat.tasks {
-            let assignment = self
-                .cache
-                .assignment(id, &status.task)
-                .map(|p| &p.assignment);
-            let assignment = assignment.filter(|assignment| assignment.attempt == status.attempt);
+            let assignment = self.assignment_of(heartbeat, status);
             if assignment.is_none() && !self.is_claim_outcome_known(&status.task, status.attempt) {
                 continue;
             }
--- a/crates/simulation/src/workers/commands.rs
+++ b/crates/simulation/src/workers/commands.rs
@@ -91,15 +91,20 @@
         if command.is_copy {
             return;
         }
+        let is_kept = self.network.keeps_commands;
+        let is_repeated = self.chance(self.network.faults.command_repeated);
+        if !is_kept && !is_repeated {
+            return;
+        }
         let copy = Command {
             answer_expired: true,
             is_copy: true,
             ..command.clone()
         };
-        if self.network.keeps_commands {
+        if is_kept {
             self.network.kept_commands.push(copy.clone());
         }
-        if !self.chance(self.network.faults.command_repeated) {
+        if !is_repeated {
             return;
         }
         for _ in 0..self.rng.gen_range(1..=COPIES_MAX) {
