Logs: answers without a read, and the pages of a list

While a controller lists the records, it may answer a user at once; neither the answer nor how far the list had come was logged, so the logs could not tell an answer from a part of the records from one of a complete but old cache. Two lines at debug: 'request answered at once' with has_listed and the cached revision, and 'page of records read' with its last key.

--- a/crates/core/src/jobs/requests.rs
+++ b/crates/core/src/jobs/requests.rs
@@ -71,6 +71,15 @@
     /// Answers a request at once if possible, else queues it for a linearizable read.
     fn enqueue_request(&mut self, id: RequestId, request: UserRequest) {
         if let Some(reply) = self.immediate_reply(&request) {
+            let (job, cached_revision) = (&request.job, self.cache.revision);
+            let has_listed = self.list_watch.has_listed;
+            tracing::debug!(
+                job,
+                cached_revision,
+                has_listed,
+                ?reply,
+                "request answered at once"
+            );
             self.emit(Effect::User { request: id, reply });
             return;
         }
--- a/crates/core/src/state/list_watch.rs
+++ b/crates/core/src/state/list_watch.rs
@@ -114,6 +114,16 @@
         if self.list_watch.list.revision == 0 {
             self.list_watch.list.revision = revision;
         }
+        let last_key = last.as_deref().unwrap_or_default();
+        let records = items.len();
+        tracing::debug!(
+            round,
+            records,
+            last_key,
+            revision,
+            more,
+            "page of records read"
+        );
         for (key, mod_revision, record) in items {
             let list = &mut self.list_watch.list;
             list.max_mod_revision = list.max_mod_revision.max(mod_revision);
