A cancellation counts as confirmed only once the cache has reached its revision

Cause: StateCache::is_cancellation_pending took the absence of g/settled, the marker from which on cancellations are confirmed when all tasks have ended, for the fact that there is none. While the records are listed that key is on a later page than the jobs. For a cancelled job itself the caller checked that the list was complete; for its dependents nobody did.

Fix: the condition is in the cache, so that all callers pass it: a cancellation is pending until the cache is complete up to the cancellation's revision. Then every claim before it and the marker, if it is older, are there. A cache that is filled from its first list is complete up to revision 0; during a list after a gap it keeps its earlier revision, so that what it proved before is still answered at once. The checks of has_listed in is_final, confirm_cancellations and is_lease_renewal_safe are implied by this condition and go. A cancellation by a controller whose transaction was conditional on the absence of the marker is answered at its commit as before. Touches invariant 6 (absent records say nothing before the list is complete) and 7, which hold.

--- a/crates/core/src/jobs/cancellation.rs
+++ b/crates/core/src/jobs/cancellation.rs
@@ -118,7 +118,7 @@
     /// Answers the requests that wait for a confirmed cancellation, for each job that has
     /// no assigned task any more.
     pub(crate) fn confirm_cancellations(&mut self) {
-        if self.requests.awaiting_cancellation.is_empty() || !self.list_watch.has_listed {
+        if self.requests.awaiting_cancellation.is_empty() {
             return;
         }
         let open = &self.requests.open;
@@ -156,14 +156,12 @@
     /// Returns whether renewing a worker's lease can break no rule. Cancellations later than
     /// `g/settled` are answered when no task of the job is assigned any more. A cache that has
     /// reached that revision contains all earlier cancellations, and the controller stops their
-    /// tasks. A worker with a token above `CONFIRMED_CANCELLATION_TERM` proves that no task of an
+    /// tasks; one that is filled from its first list has reached none. A worker with a token above `CONFIRMED_CANCELLATION_TERM` proves that no task of an
     /// earlier cancellation runs.
     fn is_lease_renewal_safe(&self, heartbeat: &WorkerHeartbeat) -> bool {
         let confirmed_from = self.cache.mod_revision(&Key::CancellationConfirmation);
         heartbeat.token >= CONFIRMED_CANCELLATION_TERM
-            || self.list_watch.has_listed
-                && confirmed_from > 0
-                && self.cache.revision >= confirmed_from
+            || confirmed_from > 0 && self.cache.revision >= confirmed_from
     }
 
     /// Returns the reply to a heartbeat while the controller is cut off from the state store: it
--- a/crates/core/src/jobs/requests.rs
+++ b/crates/core/src/jobs/requests.rs
@@ -298,7 +298,10 @@
         tracing::info!(job, "job cancelled");
         self.send_job_stops(&job);
         self.cancel_dependents();
-        if self.cache.is_cancellation_pending(&job) {
+        // The transaction was conditional on the marker of confirmed cancellations, so the cached
+        // marker decides although the watch may not have reached the commit yet.
+        let is_confirmed = self.cache.is_confirmed_at_commit(&job);
+        if !is_confirmed && self.cache.is_cancellation_pending(&job) {
             self.await_cancellation(request);
             return;
         }
@@ -332,15 +335,13 @@
         }
     }
 
-    /// Returns whether a job's state is final, though its record may not say so yet.
+    /// Returns whether a job's state is final, though its record may not say so yet. While the
+    /// records are listed, this holds only as far as the records read so far prove it.
     fn is_final(&self, id: &str, job: &JobRecord) -> bool {
         match job.phase {
             JobPhase::Open => self.cache.depends_on_cancelled(id),
             JobPhase::Done => true,
-            // While the records are listed page by page, the cache may lack assignments.
-            JobPhase::Cancelled => {
-                self.list_watch.has_listed && !self.cache.is_cancellation_pending(id)
-            }
+            JobPhase::Cancelled => !self.cache.is_cancellation_pending(id),
         }
     }
 
--- a/crates/core/src/state/cache/jobs.rs
+++ b/crates/core/src/state/cache/jobs.rs
@@ -82,18 +82,28 @@
         false
     }
 
-    /// Returns whether a job is cancelled on record, but the controller must not confirm the
-    /// cancellation yet, because tasks of the job may still run. The cache must have reached the
-    /// revision of the cancellation; otherwise it may lack an earlier claim. No claim follows a
-    /// cancellation, so once this returns false it stays false.
+    /// Returns whether a job is cancelled on record, but must not be called cancelled yet: a task of
+    /// the job may still run, or the cache does not show whether one does.
+    ///
+    /// The cache shows it once it has reached the revision of the cancellation. Before that it may
+    /// lack a claim or the marker `Key::CancellationConfirmation`, as while it is filled from a list,
+    /// and a record that is absent says nothing. No claim follows a cancellation, so once this
+    /// returns false it stays false.
     pub fn is_cancellation_pending(&self, id: &str) -> bool {
-        let cancelled_at = self.job_revision(id);
-        let confirmed_from = self.mod_revision(&Key::CancellationConfirmation);
         let job = self.job(id);
-        job.is_some_and(|job| job.phase == JobPhase::Cancelled)
-            && confirmed_from > 0
-            && cancelled_at > confirmed_from
-            && (self.revision < cancelled_at || self.task_counts(id).assigned > 0)
+        let is_cancelled = job.is_some_and(|job| job.phase == JobPhase::Cancelled);
+        let is_known = self.revision >= self.job_revision(id);
+        let is_confirmed =
+            is_known && (self.is_confirmed_at_commit(id) || self.task_counts(id).assigned == 0);
+        is_cancelled && !is_confirmed
+    }
+
+    /// Returns whether a cancelled job's cancellation precedes the marker from which on cancellations
+    /// are confirmed only when all tasks have ended: its user gets the answer at its commit. The
+    /// caller knows that the cache has every marker older than the cancellation.
+    pub fn is_confirmed_at_commit(&self, id: &str) -> bool {
+        let confirmed_from = self.mod_revision(&Key::CancellationConfirmation);
+        confirmed_from == 0 || self.job_revision(id) < confirmed_from
     }
 
     /// Returns the index of open jobs by their dependencies.
--- a/crates/core/tests/scenarios/dependencies.rs
+++ b/crates/core/tests/scenarios/dependencies.rs
@@ -374,6 +374,11 @@
         .unwrap()
         .with_final_phase(JobPhase::Cancelled, 9);
     cache.put(Key::Job("j-1".into()), 9, Record::Job(cancelled));
+    assert!(
+        !cache.depends_on_cancelled("j-2"),
+        "claims before the cancellation may be missing"
+    );
+    cache.revision = 9;
     assert!(
         cache.depends_on_cancelled("j-2")
             && cache.depends_on_cancelled("j-3")
--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -12,6 +12,7 @@
 mod failover_under_load;
 mod guard_harness;
 mod heartbeat_limits;
+mod incomplete_lists;
 mod message_faults;
 mod one_way_partitions;
 mod placement;
--- a/crates/core/tests/scenarios/rolling_upgrade.rs
+++ b/crates/core/tests/scenarios/rolling_upgrade.rs
@@ -301,3 +301,35 @@
     }
     assert!(starts > 400, "{starts} starts");
 }
+
+/// Guards against a cancellation that an upgraded controller confirms only after its tasks have ended, although the
+/// other controllers still call the job cancelled from the commit on: answers would differ.
+#[test]
+fn a_cancellation_is_confirmed_at_its_commit_until_every_controller_is_upgraded() {
+    for upgraded in [&[1][..], &[1, 2]] {
+        let mut sim = Simulation::previous_version(7, 3, 2);
+        sim.workload.run_ms = 600_000;
+        sim.run(4_000);
+        let request = sim.submit(0, job("j-1", 1));
+        sim.await_answer(request);
+        sim.run_until(20_000, "the task runs", |sim| sim.running("j-1") == 1);
+        for n in upgraded {
+            sim.upgrade(*n, 500);
+            sim.run(4_000);
+        }
+        let machine = sim.machine_of("j-1").expect("the task runs");
+        sim.workers.get_mut(&machine).unwrap().disconnected = true;
+        sim.run(2_500);
+        let request = sim.cancel(1, "j-1");
+        let reply = sim.await_answer(request);
+        assert!(matches!(reply, UserReply::Cancelled { .. }), "{reply:?}");
+        for _ in 0..200 {
+            for n in 0..3 {
+                sim.status(n, "j-1");
+            }
+            sim.run(5);
+        }
+        sim.run(sim.settings.cancellation_timeout_ms);
+        assert_eq!(sim.running("j-1"), 0);
+    }
+}
