A deleted machine's record is removed only when the cache shows all claims on it

What callers saw: a job of which a task was claimed for a machine just before a peer deleted the machine as idle could wait forever.

Cause: the peer's cache has the machine's record at the revision of its own transaction, and everything else at the revision that its watch has reached. Between the two it lacks the claim. Once the cloud had confirmed the deletion it removed the record, since no task seemed assigned, and only machines with a record have the ends of their assignments recorded.

Fix: the record is removed only once the cache has reached the revision of the machine's record. Each claim is conditional on an earlier one, so all claims on the machine are there then, and their ends are recorded first.

Found in a review of decisions that join records of different ages; not reported by users.

--- a/crates/core/src/workers/results.rs
+++ b/crates/core/src/workers/results.rs
@@ -275,10 +275,14 @@
     /// Drafts the removal of the records of machines whose deletion the cloud has confirmed.
     fn draft_confirmed_deletions(&self, draft: &mut ResultsDraft) {
         for id in &self.provisioning.deletion_confirmed {
-            // No claim can follow: each is conditional on the record as it was while the machine
-            // was up.
-            if self.cache.assigned_task_count(id) == 0 && draft.has_room(1) {
-                draft.builder.remove(Key::Machine(id.clone()));
+            let key = Key::Machine(id.clone());
+            // Each claim is conditional on the record as it was while the machine was up, so none
+            // follows the present one. The cache shows all claims before it once it has reached its
+            // revision; it has the record earlier, from this controller's own transaction.
+            let shows_all_claims = self.cache.revision >= self.cache.mod_revision(&key);
+            let is_unused = shows_all_claims && self.cache.assigned_task_count(id) == 0;
+            if is_unused && draft.has_room(1) {
+                draft.builder.remove(key);
             }
         }
     }
--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -275,3 +275,24 @@
     }
     assert!(answered_before_ready);
 }
+
+/// Guards against the removal of the record of a deleted machine by a controller that has not learned of a claim of a
+/// peer yet: the task stayed assigned to a machine without a record, nothing ended its attempt, and its job never ended.
+#[test]
+fn the_record_of_a_deleted_machine_outlives_its_assignments() {
+    for offset_ms in (0..4_000).step_by(100) {
+        let mut sim = Simulation::new(offset_ms, 2, 2);
+        sim.settings.idle_timeout_ms = 6_000;
+        sim.run(4_000 + offset_ms);
+        sim.delay_watch(0, 3_500);
+        let request = sim.submit(1, job("j-1", 4));
+        sim.await_answer(request);
+        for _ in 0..40 {
+            sim.run(100);
+            sim.check_records();
+        }
+        sim.run_until(90_000, &format!("offset {offset_ms} ms"), |sim| {
+            sim.job_phase("j-1") == Some(JobPhase::Done)
+        });
+    }
+}
