Periodic decisions wait until the watch has caught up with the pages of a list

What callers saw: after a controller had listed the records anew, it could delete a machine as idle for which a peer had claimed a task meanwhile; the task was lost and started again elsewhere.

Cause: has_current_state is true from the last page of a list on, but the first pages, with the chunks, are older than the last ones. Scheduling passes wait until the watch has reached the highest revision listed (has_synced); deletions, evictions, instance requests and the other periodic work did not.

Fix: periodic work that decides from records waits as well. The watch is opened with the last page and answers at once, so this costs one answer of the state service per list.

Evidence: a_machine_claimed_during_a_list_is_not_deleted_as_idle failed before the change ('offset 900 ms: a task was lost', 2 started, 1 runs). Found in a review of decisions that join records of different ages; not reported by users.

--- a/crates/core/src/controller/housekeeping.rs
+++ b/crates/core/src/controller/housekeeping.rs
@@ -23,7 +23,9 @@
         }
         self.lifecycle.last_housekeeping_at = Some(self.now);
         self.maintain_connections();
-        if !self.has_current_state() {
+        // Pages of a list are of different ages: until the watch has caught up with the latest one, a
+        // machine may lack a claim and look idle.
+        if !self.has_current_state() || !self.has_synced() {
             return;
         }
         self.record_first_term();
--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -296,3 +296,34 @@
         });
     }
 }
+
+/// Guards against the deletion of a machine as idle by a controller whose list has chunks from before a claim for the
+/// machine, until its watch has caught up with the later pages.
+#[test]
+fn a_machine_claimed_during_a_list_is_not_deleted_as_idle() {
+    for offset_ms in (0..2_400).step_by(50) {
+        let mut sim = Simulation::new(offset_ms, 2, 2);
+        sim.settings.idle_timeout_ms = 8_000;
+        sim.run(4_000);
+        submit_pipeline(&mut sim);
+        for i in 100..160 {
+            let waiting = dependent_job(&format!("j-{i}"), 1, &["j-1"]);
+            let request = sim.submit(0, waiting);
+            sim.await_answer(request);
+        }
+        sim.run(8_000 + offset_ms - sim.now_ms.min(8_000));
+        sim.state.page_size = 1;
+        sim.delay_watch(0, 700);
+        sim.break_watch(0);
+        sim.run(100);
+        sim.submit(1, job("j-9", 2));
+        sim.run(3_000);
+        // A machine that was deleted before the list takes no task.
+        let (started, running) = (sim.metrics.starts as usize, sim.running("j-9"));
+        assert_eq!(
+            started - 1,
+            running,
+            "offset {offset_ms} ms: a task was lost"
+        );
+    }
+}
