A machine found idle is deleted only if it is still unused when that is recorded

What callers saw: a controller that the state service refused for some seconds could delete a machine as idle on its return, although a peer had claimed tasks for it meanwhile; the tasks were lost and started again elsewhere.

Cause: the mark for termination outlives the outage, and what is recorded on its account was not compared with the records that the controller has by then.

Fix: such marks are dropped, before each transaction of results, for machines with an assigned task. Other reasons (unreachable, failed, a cancelled task) hold with tasks as well and stay.

Found in a review of decisions that join records of different ages; not reported by users.

--- a/crates/core/src/workers/results.rs
+++ b/crates/core/src/workers/results.rs
@@ -155,6 +155,10 @@
             let assignment = cache.assignment_of_attempt(task, *attempt);
             assignment.is_some_and(|assignment| assignment.stop_reason.is_none())
         });
+        // A peer may have claimed a task for a machine since it was found idle.
+        self.workers.marked_for_termination.retain(|id, reason| {
+            *reason != TerminationReason::Idle || cache.assigned_task_count(id) == 0
+        });
         let mut updates = std::mem::take(&mut self.write_back.machine_updates);
         updates.retain(|id, update| self.updated_record(id, update).is_some());
         self.write_back.machine_updates = updates;
--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -327,3 +327,30 @@
         );
     }
 }
+
+/// Guards against the deletion of a machine on an old decision: a controller found it idle, lost the state service before
+/// it could record that, and has learned since that a peer uses the machine.
+#[test]
+fn a_machine_found_idle_before_an_outage_is_kept_if_it_is_used_since() {
+    let mut kept = 0;
+    for offset_ms in (0..1_200).step_by(20) {
+        let mut sim = Simulation::new(offset_ms, 2, 1);
+        sim.settings.idle_timeout_ms = 8_000;
+        sim.run(8_500 + offset_ms);
+        sim.controllers[0].refused_by_state = true;
+        sim.run(1_200);
+        sim.submit(1, job("j-1", 2));
+        sim.workload.run_ms = LONG_RUN_MS;
+        sim.run(3_000);
+        sim.controllers[0].refused_by_state = false;
+        let machines = sim.machines_of("j-1");
+        sim.run(4_000);
+        if machines.is_empty() {
+            // The deletion was recorded before the outage.
+            continue;
+        }
+        assert_eq!(sim.machines_of("j-1"), machines, "offset {offset_ms} ms");
+        kept += 1;
+    }
+    assert!(kept > 10, "{kept} machines were used during the outage");
+}
