Tests: leases of workers whose controller loses the state service within its list

A controller is fed its list by hand, page by page. Two tests guard conditions of lease renewal that no scenario reached: the cache must have reached the marker's revision, and without a marker the list must be complete. Two more: a high token is proof enough, and workers are sent to peers that have the records.

--- a/crates/core/tests/scenarios/main.rs
+++ b/crates/core/tests/scenarios/main.rs
@@ -13,6 +13,8 @@
 mod guard_harness;
 mod heartbeat_limits;
 mod incomplete_lists;
+mod leases_during_lists;
+mod listing_controller;
 mod message_faults;
 mod one_way_partitions;
 mod placement;
