--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -7,6 +7,7 @@
 mod forgetting;
 mod handoff;
 mod heartbeats;
+mod machine_deletions;
 mod machine_updates;
 pub(crate) mod observations;
 mod reachability;
--- a/crates/core/src/workers/results.rs
+++ b/crates/core/src/workers/results.rs
@@ -14,7 +14,7 @@
 use crate::scheduling::releases::{self, AttemptOutcome};
 use crate::settings::Settings;
 use crate::state::StartDelivery;
-use crate::state::{Assignment, Key, MachinePhase, MachineRecord, Record, TransactionBuilder};
+use crate::state::{Assignment, Key, MachinePhase, Record, TransactionBuilder};
 use crate::workers::termination::TerminationReason;
 use std::collections::BTreeMap;
 
@@ -29,22 +29,19 @@
     pub conditional_on: Option<StartDelivery>,
 }
 
-/// Machines to be deleted, with the reasons.
-type MarkedMachines<'a> = Vec<(&'a String, &'a TerminationReason)>;
-
 /// A draft of a transaction of results.
-struct ResultsDraft<'a> {
-    builder: TransactionBuilder<'a>,
+pub(super) struct ResultsDraft<'a> {
+    pub(super) builder: TransactionBuilder<'a>,
     settings: &'a Settings,
     /// Number of changes that results and starts leave for machine records.
     reserved_for_machines: usize,
     /// Whether something in the queue did not fit.
-    is_full: bool,
+    pub(super) is_full: bool,
 }
 
 impl ResultsDraft<'_> {
     /// Returns whether this number of further changes fits.
-    fn has_room(&self, changes: usize) -> bool {
+    pub(super) fn has_room(&self, changes: usize) -> bool {
         let bytes = self.settings.max_value_bytes as usize + 2 * SMALL_RECORD_BYTES;
         self.builder
             .has_room(self.settings, changes, changes, bytes)
@@ -174,18 +171,6 @@
         changes_left.min(max_changes).max(MIN_AVAILABLE_CHANGES)
     }
 
-    /// Returns the machines whose deletion is to be recorded: those with assignments, and those
-    /// without.
-    fn machines_to_delete(&self) -> (MarkedMachines<'_>, MarkedMachines<'_>) {
-        let marked = self.workers.marked_for_termination.iter();
-        marked
-            .filter(|(id, _)| {
-                let phase = self.cache.machine(id).map(|machine| machine.phase);
-                phase != Some(MachinePhase::Deprovisioning)
-            })
-            .partition(|(id, _)| self.cache.assigned_task_count(id) > 0)
-    }
-
     /// Drafts the results of ended attempts; returns the attempts.
     fn draft_results(&self, draft: &mut ResultsDraft) -> Vec<(TaskId, u64)> {
         let mut released = Vec::new();
@@ -240,25 +225,6 @@
         }
     }
 
-    /// Drafts the deletion of machines, and leaves `reserved_changes` changes for other records.
-    /// Returns whether any deletion was drafted.
-    fn draft_deletions(
-        &self,
-        draft: &mut ResultsDraft,
-        machines: MarkedMachines,
-        reserved_changes: usize,
-    ) -> bool {
-        let mut has_drafted = false;
-        for (id, reason) in machines {
-            if !draft.has_room(1 + reserved_changes) {
-                draft.is_full = true;
-                break;
-            }
-            has_drafted |= self.draft_deletion(&mut draft.builder, id, *reason);
-        }
-        has_drafted
-    }
-
     /// Drafts the machine record changes that heartbeats gave evidence of.
     fn draft_machine_updates(&self, draft: &mut ResultsDraft) {
         for (id, update) in &self.write_back.machine_updates {
@@ -276,49 +242,6 @@
         }
     }
 
-    /// Drafts the removal of the records of machines whose deletion the cloud has confirmed.
-    fn draft_confirmed_deletions(&self, draft: &mut ResultsDraft) {
-        for id in &self.provisioning.deletion_confirmed {
-            let key = Key::Machine(id.clone());
-            // Each claim is conditional on the record as it was while the machine was up, so none
-            // follows the present one. The cache shows all claims before it once it has reached its
-            // revision; it has the record earlier, from this controller's own transaction.
-            let shows_all_claims = self.cache.revision >= self.cache.mod_revision(&key);
-            let is_unused = shows_all_claims && self.cache.assigned_task_count(id) == 0;
-            if is_unused && draft.has_room(1) {
-                draft.builder.remove(key);
-            }
-        }
-    }
-
-    /// Drafts the deletion of a machine; returns whether it was not on record already.
-    fn draft_deletion(
-        &self,
-        builder: &mut TransactionBuilder,
-        id: &str,
-        reason: TerminationReason,
-    ) -> bool {
-        let Some(mut machine) = builder
-            .machine(id)
-            .or_else(|| self.new_record_of_instance(id))
-        else {
-            return false;
-        };
-        if machine.phase == MachinePhase::Deprovisioning {
-            return false;
-        }
-        let assignments = self.cache.assigned_task_count(id);
-        tracing::info!(
-            machine = id,
-            assignments,
-            reason = reason.as_str(),
-            "deletion of machine to be recorded"
-        );
-        machine.phase = MachinePhase::Deprovisioning;
-        builder.put(Key::Machine(id.to_string()), Record::Machine(machine));
-        true
-    }
-
     /// Returns the number of changes that must be available for the next transaction. With a
     /// backlog of results it is higher, so that results that share a chunk, and claims that share a
     /// team's record, share their puts.
@@ -400,28 +323,6 @@
         }
     }
 
-    /// Queues the ends of all assignments on deleted machines: the cloud's 200 to a deletion proves
-    /// that every task on the machine has ended.
-    fn queue_results_of_deleted_machines(&mut self) {
-        let cache = &self.cache;
-        self.provisioning
-            .deletion_confirmed
-            .retain(|id| cache.machine(id).is_some());
-        for id in &self.provisioning.deletion_confirmed {
-            for (task, placed) in self.cache.assignments(id) {
-                let key = (task.clone(), placed.assignment.attempt);
-                // Stronger than a queued result: it holds regardless of the start's delivery.
-                let ended = EndedAttempt {
-                    outcome: AttemptOutcome::Terminated,
-                    at: self.now,
-                    conditional_on: None,
-                };
-                let queued = self.write_back.results.entry(key).or_insert(ended);
-                queued.conditional_on = None;
-            }
-        }
-    }
-
     fn chunk_key(&self, task: &TaskId) -> Option<Key> {
         let chunk = self.cache.job(&task.job)?.chunk_of(task.index);
         Some(Key::Chunk(task.job.clone(), chunk))
@@ -452,25 +353,4 @@
             edit(assignment);
         }
     }
-
-    /// Returns a new record for a machine that an instance request provisioned and that has sent no
-    /// heartbeat.
-    fn new_record_of_instance(&self, id: &str) -> Option<MachineRecord> {
-        let (_, instance_request, _) = self.cache.instance_requests().find(|(_, request, _)| {
-            request
-                .instances
-                .iter()
-                .flatten()
-                .any(|instance| instance == id)
-        })?;
-        (!self.workers.recently_deleted.contains(id)).then(|| {
-            MachineRecord::new(
-                &instance_request.type_name,
-                &instance_request.zone,
-                instance_request.spot,
-                MachinePhase::Booting,
-                self.wall_time,
-            )
-        })
-    }
 }
