Tasks on a machine without a record are ended by a deletion

Cause: only machines with a record are deleted, and only a confirmed deletion proves that an attempt on a silent machine is gone.

Fix: a machine that has had assigned tasks but no record for 10 s gets a record again, as one to be deleted. From there on everything is as ever: the cloud confirms the deletion, which it does for unknown names too, the ends are recorded, and the record goes.

Evidence: tasks_on_a_machine_without_a_record_are_started_elsewhere timed out after 90 s before the change.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -258,6 +258,8 @@
 pub const WORKER_HANDOFF_MS: u64 = 1_000;
 /// Margin added to a worker's failover before its silence counts.
 pub const SILENCE_MARGIN_MS: u64 = 1_000;
+/// Time after which a machine that has assigned tasks but no record is deleted.
+pub const UNRECORDED_MACHINE_TIMEOUT_MS: u64 = 10_000;
 /// Delay after an overdue heartbeat before its machine is probed with a direct command.
 pub const PROBE_DELAY_MS: u64 = 500;
 /// Time for which a failed direct command is evidence against a silent machine.
--- a/crates/core/src/state/cache/assignments.rs
+++ b/crates/core/src/state/cache/assignments.rs
@@ -61,6 +61,12 @@
         assigned.flat_map(|assigned| &assigned.tasks)
     }
 
+    /// Returns the machines that have assigned tasks but no record.
+    pub fn unrecorded_machines(&self) -> impl Iterator<Item = &str> {
+        let machines = self.assigned.keys().map(String::as_str);
+        machines.filter(|machine| !self.machines.contains_key(*machine))
+    }
+
     /// Returns the assignment of a task to this machine, if there is one.
     pub fn assignment(&self, machine: &str, task: &TaskId) -> Option<&AssignedTask> {
         self.assigned.get(machine)?.tasks.get(task)
--- a/crates/core/src/workers/failure_detection.rs
+++ b/crates/core/src/workers/failure_detection.rs
@@ -4,8 +4,8 @@
 use crate::constants::{
     BOOT_TIMEOUT_FACTOR, BOOT_TIMEOUT_MARGIN_MS, CANCEL_DELETE_SHARE,
     CANCEL_UNCONFIRMED_TIMEOUT_MS, CONTROLLER_STAGGER_MS, MASS_SILENCE_FACTOR, PROBE_DELAY_MS,
-    PROBE_VALIDITY_MS, SILENCE_MARGIN_MS, UNREACHABLE_PROBES_MAX, WORKER_FAILOVER_MS,
-    ZONE_PROBES_MAX,
+    PROBE_VALIDITY_MS, SILENCE_MARGIN_MS, UNREACHABLE_PROBES_MAX, UNRECORDED_MACHINE_TIMEOUT_MS,
+    WORKER_FAILOVER_MS, ZONE_PROBES_MAX,
 };
 use crate::controller::Controller;
 use crate::model::Millis;
@@ -14,7 +14,7 @@
 use crate::workers::termination::TerminationReason;
 use crate::zones::detector::MachineSurvey;
 use rand::seq::SliceRandom;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine whose heartbeat is overdue.
 struct OverdueMachine {
@@ -94,6 +94,7 @@
         self.find_machines_with_cancelled_tasks(&mut terminations);
         self.find_idle_or_never_up(&mut terminations);
         self.find_missing_instances(&mut terminations);
+        self.find_unrecorded_machines(&mut terminations);
         for (id, reason) in terminations {
             self.mark_for_termination(&id, reason);
         }
@@ -284,6 +285,21 @@
         }
     }
 
+    /// Finds machines that have had assigned tasks but no record for a while. Controllers of earlier
+    /// versions may have removed the record too early. Only machines with a record are deleted, and
+    /// only a confirmed deletion proves that such tasks have ended.
+    fn find_unrecorded_machines(&mut self, terminations: &mut Terminations) {
+        let unrecorded: BTreeSet<&str> = self.cache.unrecorded_machines().collect();
+        let since = &mut self.workers.unrecorded_since;
+        since.retain(|id, _| unrecorded.contains(id.as_str()));
+        for id in unrecorded {
+            let unrecorded_at = *since.entry(id.to_string()).or_insert(self.now);
+            if self.now >= unrecorded_at + UNRECORDED_MACHINE_TIMEOUT_MS {
+                terminations.push((id.to_string(), TerminationReason::Unrecorded));
+            }
+        }
+    }
+
     /// Returns whether a machine has sent a heartbeat recently, though its record may not say so
     /// yet.
     fn recently_reported(&self, id: &str) -> bool {
--- a/crates/core/src/workers/machine_deletions.rs
+++ b/crates/core/src/workers/machine_deletions.rs
@@ -89,6 +89,7 @@
         let Some(mut machine) = builder
             .machine(id)
             .or_else(|| self.new_record_of_instance(id))
+            .or_else(|| self.new_record_of_unrecorded(id))
         else {
             return false;
         };
@@ -127,4 +128,20 @@
             )
         })
     }
+
+    /// Returns a new record for a machine that has assigned tasks but no record, so that it can be
+    /// deleted. Its type and zone are not known.
+    fn new_record_of_unrecorded(&self, id: &str) -> Option<MachineRecord> {
+        let has_tasks = self.cache.assigned_task_count(id) > 0;
+        has_tasks.then(|| {
+            let (type_name, zone, is_spot) = ("", "", false);
+            MachineRecord::new(
+                type_name,
+                zone,
+                is_spot,
+                MachinePhase::Booting,
+                self.wall_time,
+            )
+        })
+    }
 }
--- a/crates/core/src/workers/registry.rs
+++ b/crates/core/src/workers/registry.rs
@@ -70,6 +70,8 @@
     pub(crate) fetching_until: HashMap<String, Millis>,
     /// Machines whose deletion is to be recorded, with the reasons.
     pub(crate) marked_for_termination: BTreeMap<String, TerminationReason>,
+    /// Since when machines with assigned tasks have had no record, as far as this controller knows.
+    pub(crate) unrecorded_since: BTreeMap<String, Millis>,
     /// When failure detection last ran.
     pub(crate) failures_detected_at: Millis,
 }
@@ -89,6 +91,7 @@
             last_assigned_at: HashMap::new(),
             fetching_until: HashMap::new(),
             marked_for_termination: BTreeMap::new(),
+            unrecorded_since: BTreeMap::new(),
             failures_detected_at: 0,
         }
     }
--- a/crates/core/src/workers/termination.rs
+++ b/crates/core/src/workers/termination.rs
@@ -16,6 +16,8 @@
     /// A cancelled task is still assigned to it after the time in which cancellations must take
     /// effect.
     HoldsCancelledTask,
+    /// Tasks are assigned to it, but it has no record.
+    Unrecorded,
     /// The cloud lists the instance as failed.
     InstanceFailed,
     /// Its zone is unreachable as a whole, and its tasks are to run elsewhere.
@@ -30,6 +32,7 @@
             TerminationReason::NeverCameUp => "never came up",
             TerminationReason::Idle => "idle",
             TerminationReason::HoldsCancelledTask => "still holds a cancelled task",
+            TerminationReason::Unrecorded => "tasks are assigned to it, but it has no record",
             TerminationReason::InstanceFailed => "listed as failed by the cloud",
             TerminationReason::ZoneEvacuation(reason) => reason.as_str(),
         }
--- a/crates/core/tests/scenarios/worker_failures.rs
+++ b/crates/core/tests/scenarios/worker_failures.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{is_done, started_cluster, without_scale_in};
 use glenmount_core::controller::UserReply;
-use glenmount_core::state::JobPhase;
+use glenmount_core::state::{JobPhase, Key};
 use glenmount_simulation::{job, service, Simulation};
 
 #[test]
@@ -225,3 +225,22 @@
     sim.run_until(60_000, "done", |sim| is_done(sim, "j-5"));
     sim.check_records();
 }
+
+/// Guards against jobs that wait forever, since controllers of earlier versions removed the record of a deleted machine
+/// to which a peer had assigned their tasks.
+#[test]
+fn tasks_on_a_machine_without_a_record_are_started_elsewhere() {
+    for seed in 0..4 {
+        let mut sim = without_scale_in(seed, 3, 3);
+        sim.workload.run_ms = 20_000;
+        sim.submit(0, job("j-1", 4));
+        sim.run_until(10_000, "runs", |sim| sim.running("j-1") == 4);
+        let name = sim.machine_of("j-1").expect("the job runs");
+        sim.kill_machine(&name);
+        sim.run(10);
+        sim.remove_record(Key::Machine(name));
+        sim.run_until(90_000, "done", |sim| is_done(sim, "j-1"));
+        sim.run(10_000);
+        sim.check_records();
+    }
+}
