Changes of a watch from before a list don't count as the whole of the records

The cache's revision means that the cache is complete up to it, and answers depend on that. A watch update that arrived during a list would have set it although the list was not complete. Such updates are dropped now: the watch that follows the list delivers them again.

Tests: changes_of_an_earlier_watch_do_not_complete_a_list, peers_get_no_status_from_an_unfinished_list.

--- a/crates/core/src/configuration/rollout.rs
+++ b/crates/core/src/configuration/rollout.rs
@@ -10,10 +10,10 @@
 use crate::state::{Key, Record, TransactionBuilder};
 
 impl Controller {
-    /// Applies the configuration in the cache, before any decision that depends on a changed cache. Does nothing
-    /// before the list is complete, since the cache may hold only a part of a configuration.
+    /// Applies the configuration in the cache, before any decision that depends on a changed cache. The caller has
+    /// completed a list: before that the cache may hold only a part of a configuration.
     pub(crate) fn apply_stored_configuration(&mut self) {
-        if !self.list_watch.has_listed || !self.settings.checks.stored_configuration {
+        if !self.settings.checks.stored_configuration {
             return;
         }
         match self.configuration.refresh(&self.cache) {
--- a/crates/core/src/peers/failover.rs
+++ b/crates/core/src/peers/failover.rs
@@ -27,7 +27,7 @@
             return;
         }
         self.cache.merge_image_hints(&images);
-        if is_behind && self.list_watch.has_listed {
+        if is_behind {
             // Makes the next linearizable read due, which shows whether the watch lags.
             let at = self.now.saturating_sub(STATE_PROBE_INTERVAL_MS);
             self.reads.last_requested_at = self.reads.last_requested_at.min(at);
@@ -158,7 +158,8 @@
             configuration: self.settings.policy.version,
             ..status
         };
-        // Versions before format 2 reject a heartbeat with an additional element.
+        // Versions before format 2 reject a heartbeat with an additional element. Before the list is
+        // complete, the revision, the term and the configuration in it are not those on record.
         let includes_status = self.list_watch.has_listed
             && self.cache.common_format() >= formats::COMPACT_CHUNKS_AND_DEPENDENCIES;
         self.emit(Effect::PeerHeartbeat(PeerHeartbeat {
--- a/crates/core/src/state/list_watch.rs
+++ b/crates/core/src/state/list_watch.rs
@@ -157,12 +157,16 @@
     }
 
     /// Applies the changes that the watch delivered, which are complete up to `revision`. A change
-    /// without a record is a removal.
+    /// without a record is a removal. Changes that arrive during a list are of an earlier watch: they
+    /// are dropped, since they don't complete the cache, and the next watch delivers them again.
     pub(crate) fn handle_watch_update(
         &mut self,
         revision: u64,
         changes: Vec<(Key, u64, Option<Record>)>,
     ) {
+        if !self.list_watch.has_listed {
+            return;
+        }
         for (key, mod_revision, record) in changes {
             tracing::debug!(
                 ?key,
--- a/crates/core/src/state/reads.rs
+++ b/crates/core/src/state/reads.rs
@@ -148,8 +148,8 @@
             self.list_watch.watch_lag_since = None;
         }
         for read in caught_up {
+            // A list that is in progress began after the read was sent, and so after the pause.
             if self.lifecycle.cache_predates_resume
-                && self.list_watch.has_listed
                 && read.operation >= self.lifecycle.first_operation_since_resume
             {
                 self.lifecycle.cache_predates_resume = false;
--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -4,10 +4,12 @@
 //! earlier ones.
 
 use crate::common::started_cluster;
-use glenmount_core::controller::{RequestId, UserReply};
-use glenmount_core::model::JobState;
-use glenmount_core::state::{JobPhase, Key};
-use glenmount_simulation::{dependent_job, job, service, Simulation};
+use crate::listing_controller::{ListedRecord, ListingController};
+use glenmount_core::controller::{Event, RequestId, UserReply};
+use glenmount_core::model::{JobSpec, JobState};
+use glenmount_core::state::formats::{self, FormatRecord};
+use glenmount_core::state::{JobPhase, JobRecord, Key, Record};
+use glenmount_simulation::{dependent_job, job, service, settings, Simulation};
 
 /// Time for which users poll: longer than the list of all records on pages of one record takes.
 const POLL_MS: u64 = 900;
@@ -354,3 +356,73 @@
     }
     assert!(kept > 10, "{kept} machines were used during the outage");
 }
+
+/// Returns a job as it is listed.
+fn listed_job(spec: JobSpec, mod_revision: u64, phase: JobPhase) -> ListedRecord {
+    let key = Key::Job(spec.id.clone());
+    let open = JobRecord {
+        phase: JobPhase::Open,
+        tasks: spec.tasks,
+        tasks_per_chunk: 1,
+        accepted_at: 0,
+        ended_at: 0,
+        spec: Some(Box::new(spec)),
+    };
+    let record = match phase {
+        JobPhase::Open => open,
+        ended => open.with_final_phase(ended, 1),
+    };
+    (key, mod_revision, Record::Job(record))
+}
+
+/// Guards against changes of a watch from before a list: taken for the whole of the records up to their revision, they
+/// would make the cache seem complete, and the dependents of an unconfirmed cancellation cancelled.
+#[test]
+fn changes_of_an_earlier_watch_do_not_complete_a_list() {
+    let mut listing = ListingController::start(settings("node-0", 3));
+    let cancelled = listed_job(job("j-1", 1), 9, JobPhase::Cancelled);
+    let dependent = listed_job(dependent_job("j-2", 1, &["j-1"]), 4, JobPhase::Open);
+    let done = listed_job(job("j-3", 1), 5, JobPhase::Done);
+    listing.deliver_page(20, vec![cancelled, dependent, done]);
+    let changes = Vec::new();
+    listing.handle(Event::WatchUpdate {
+        revision: 30,
+        changes,
+    });
+    for id in ["j-1", "j-2", "j-9"] {
+        let reply = listing.status(id);
+        assert!(
+            matches!(reply, Some(UserReply::RetryAfter { .. })),
+            "{id}: {reply:?}"
+        );
+    }
+    let reply = listing.status("j-3");
+    let is_done = matches!(
+        reply,
+        Some(UserReply::Status {
+            state: JobState::Done,
+            ..
+        })
+    );
+    assert!(is_done, "{reply:?}");
+}
+
+/// Guards against a status for peers whose revision, term and configuration are defaults.
+#[test]
+fn peers_get_no_status_from_an_unfinished_list() {
+    let mut listing = ListingController::start(settings("node-0", 3));
+    let format = |controller: &str| {
+        let version = formats::LATEST;
+        let record = Record::Format(FormatRecord { version });
+        (Key::Format(controller.into()), 2, record)
+    };
+    listing.deliver_page(
+        20,
+        vec![format("node-0"), format("node-1"), format("node-2")],
+    );
+    listing.peer_heartbeats.clear();
+    listing.run(2_000);
+    assert!(!listing.peer_heartbeats.is_empty());
+    let has_status = listing.peer_heartbeats.iter().any(|h| h.status.is_some());
+    assert!(!has_status);
+}
--- a/crates/core/tests/scenarios/listing_controller.rs
+++ b/crates/core/tests/scenarios/listing_controller.rs
@@ -2,7 +2,8 @@
 //! message arrives.
 
 use glenmount_core::controller::{
-    Controller, Effect, Event, OperationId, RequestId, StateOperation, StateResponse, WorkerReply,
+    Controller, Effect, Event, OperationId, PeerHeartbeat, RequestId, StateOperation,
+    StateResponse, UserReply, WorkerReply,
 };
 use glenmount_core::model::WorkerHeartbeat;
 use glenmount_core::settings::Settings;
@@ -22,7 +23,10 @@
     now_ms: u64,
     /// The request for a page that is outstanding.
     page_request: Option<OperationId>,
+    user_replies: Vec<(RequestId, UserReply)>,
     worker_replies: Vec<(RequestId, WorkerReply)>,
+    /// Heartbeats that it has sent to its peers.
+    pub peer_heartbeats: Vec<PeerHeartbeat>,
     next_request: RequestId,
 }
 
@@ -33,7 +37,9 @@
             controller: Controller::new(settings, 1, 0, START_TIME_MS),
             now_ms: 0,
             page_request: None,
+            user_replies: Vec::new(),
             worker_replies: Vec::new(),
+            peer_heartbeats: Vec::new(),
             next_request: 1,
         };
         listing.run(TICK_MS);
@@ -50,6 +56,8 @@
                     operation: StateOperation::List { .. },
                     ..
                 } => self.page_request = Some(operation_id),
+                Effect::User { request, reply } => self.user_replies.push((request, reply)),
+                Effect::PeerHeartbeat(heartbeat) => self.peer_heartbeats.push(heartbeat),
                 Effect::Worker { request, reply } => self.worker_replies.push((request, reply)),
                 _ => {}
             }
@@ -86,6 +94,16 @@
         });
     }
 
+    /// Sends a user's status request and returns the answer, if it is given at once.
+    pub fn status(&mut self, job: &str) -> Option<UserReply> {
+        let request = self.take_request();
+        let job = job.to_string();
+        self.handle(Event::Status { request, job });
+        let mut replies = self.user_replies.iter();
+        let reply = replies.find(|(answered, _)| *answered == request);
+        reply.map(|(_, reply)| reply.clone())
+    }
+
     /// Sends a worker's heartbeat. Returns its request.
     pub fn send_heartbeat(&mut self, heartbeat: WorkerHeartbeat) -> RequestId {
         let request = self.take_request();
