--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -4,11 +4,11 @@
 //! earlier ones.
 
 use crate::common::started_cluster;
-use crate::listing_controller::{ListedRecord, ListingController};
+use crate::listing_controller::{listed_job, ListingController};
 use glenmount_core::controller::{Event, RequestId, UserReply};
-use glenmount_core::model::{JobSpec, JobState};
+use glenmount_core::model::JobState;
 use glenmount_core::state::formats::{self, FormatRecord};
-use glenmount_core::state::{JobPhase, JobRecord, Key, Record};
+use glenmount_core::state::{JobPhase, Key, Record};
 use glenmount_simulation::{dependent_job, job, service, settings, Simulation};
 
 /// Time for which users poll: longer than the list of all records on pages of one record takes.
@@ -357,24 +357,6 @@
     assert!(kept > 10, "{kept} machines were used during the outage");
 }
 
-/// Returns a job as it is listed.
-fn listed_job(spec: JobSpec, mod_revision: u64, phase: JobPhase) -> ListedRecord {
-    let key = Key::Job(spec.id.clone());
-    let open = JobRecord {
-        phase: JobPhase::Open,
-        tasks: spec.tasks,
-        tasks_per_chunk: 1,
-        accepted_at: 0,
-        ended_at: 0,
-        spec: Some(Box::new(spec)),
-    };
-    let record = match phase {
-        JobPhase::Open => open,
-        ended => open.with_final_phase(ended, 1),
-    };
-    (key, mod_revision, Record::Job(record))
-}
-
 /// Guards against changes of a watch from before a list: taken for the whole of the records up to their revision, they
 /// would make the cache seem complete, and the dependents of an unconfirmed cancellation cancelled.
 #[test]
--- a/crates/core/tests/scenarios/leases_during_lists.rs
+++ b/crates/core/tests/scenarios/leases_during_lists.rs
@@ -1,11 +1,11 @@
 //! Leases of workers whose controller has lost the state service while it lists the records. It must not renew the
 //! lease of a worker that may hold a task of a job whose cancellation it has not read.
 
-use crate::listing_controller::{ListedRecord, ListingController, START_TIME_MS};
+use crate::listing_controller::{listed_job, ListedRecord, ListingController, START_TIME_MS};
 use glenmount_core::constants::CONFIRMED_CANCELLATION_TERM;
 use glenmount_core::controller::{Event, PeerHeartbeat, RequestId, WorkerReply};
 use glenmount_core::model::{TaskId, TaskPhase, TaskStatus, WorkerHeartbeat};
-use glenmount_core::state::{CancellationConfirmationRecord, JobPhase, JobRecord, Key, Record};
+use glenmount_core::state::{CancellationConfirmationRecord, JobPhase, Key, Record};
 use glenmount_simulation::{job, settings};
 
 /// Number of controllers.
@@ -39,18 +39,9 @@
     }
 }
 
-/// Returns the record of `j-1` from before its cancellation.
+/// Returns `j-1` from before its cancellation.
 fn open_job() -> ListedRecord {
-    let spec = job("j-1", 1);
-    let record = JobRecord {
-        phase: JobPhase::Open,
-        tasks: 1,
-        tasks_per_chunk: 1,
-        accepted_at: 0,
-        ended_at: 0,
-        spec: Some(Box::new(spec)),
-    };
-    (Key::Job("j-1".into()), 3, Record::Job(record))
+    listed_job(job("j-1", 1), 3, JobPhase::Open)
 }
 
 /// Returns the marker from whose revision on cancellations are confirmed.
--- a/crates/core/tests/scenarios/listing_controller.rs
+++ b/crates/core/tests/scenarios/listing_controller.rs
@@ -5,9 +5,9 @@
     Controller, Effect, Event, OperationId, PeerHeartbeat, RequestId, StateOperation,
     StateResponse, UserReply, WorkerReply,
 };
-use glenmount_core::model::WorkerHeartbeat;
+use glenmount_core::model::{JobSpec, WorkerHeartbeat};
 use glenmount_core::settings::Settings;
-use glenmount_core::state::{Key, Record};
+use glenmount_core::state::{JobPhase, JobRecord, Key, Record};
 
 /// Time between two ticks in milliseconds.
 const TICK_MS: u64 = 50;
@@ -17,6 +17,24 @@
 /// A record as a list returns it: its key, the revision of its last change and its value.
 pub type ListedRecord = (Key, u64, Record);
 
+/// Returns a job as it is listed.
+pub fn listed_job(spec: JobSpec, mod_revision: u64, phase: JobPhase) -> ListedRecord {
+    let key = Key::Job(spec.id.clone());
+    let open = JobRecord {
+        phase: JobPhase::Open,
+        tasks: spec.tasks,
+        tasks_per_chunk: 1,
+        accepted_at: 0,
+        ended_at: 0,
+        spec: Some(Box::new(spec)),
+    };
+    let record = match phase {
+        JobPhase::Open => open,
+        ended => open.with_final_phase(ended, 1),
+    };
+    (key, mod_revision, Record::Job(record))
+}
+
 /// A controller without simulation, and the effects that it has emitted.
 pub struct ListingController {
     controller: Controller,
