An unreachable machine is deleted only if no heartbeat of it was received since it was found so

What callers saw: a controller that the state service refused for some seconds could delete a machine on its return that it had found unreachable before, although the machine had been reporting to a peer again; its tasks were lost.

Cause: as with idle machines, the mark outlived the outage, and what the controller learned meanwhile was not compared with it.

Fix: a mark says when its reason was found; it is dropped if any controller is known to have received a later heartbeat. The check of idle machines moves to the same place, drop_outdated_marks.

--- a/crates/core/src/workers/machine_deletions.rs
+++ b/crates/core/src/workers/machine_deletions.rs
@@ -5,10 +5,10 @@
 use crate::scheduling::releases::AttemptOutcome;
 use crate::state::{Key, MachinePhase, MachineRecord, Record, TransactionBuilder};
 use crate::workers::results::{EndedAttempt, ResultsDraft};
-use crate::workers::termination::TerminationReason;
+use crate::workers::termination::{TerminationMark, TerminationReason};
 
-/// Machines to be deleted, with the reasons.
-pub(super) type MarkedMachines<'a> = Vec<(&'a String, &'a TerminationReason)>;
+/// Machines to be deleted, with their marks.
+pub(super) type MarkedMachines<'a> = Vec<(&'a String, &'a TerminationMark)>;
 
 impl Controller {
     /// Queues the ends of all assignments on deleted machines: the cloud's 200 to a deletion proves
@@ -54,12 +54,12 @@
         reserved_changes: usize,
     ) -> bool {
         let mut has_drafted = false;
-        for (id, reason) in machines {
+        for (id, mark) in machines {
             if !draft.has_room(1 + reserved_changes) {
                 draft.is_full = true;
                 break;
             }
-            has_drafted |= self.draft_deletion(&mut draft.builder, id, *reason);
+            has_drafted |= self.draft_deletion(&mut draft.builder, id, mark.reason);
         }
         has_drafted
     }
--- a/crates/core/src/workers/registry.rs
+++ b/crates/core/src/workers/registry.rs
@@ -7,7 +7,7 @@
 use crate::workers::observations::MachineObservations;
 use crate::workers::reachability::WorkerReachability;
 use crate::workers::starts::StartTracker;
-use crate::workers::termination::TerminationReason;
+use crate::workers::termination::TerminationMark;
 use foldhash::{HashMap, HashMapExt, HashSet};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -69,7 +69,7 @@
     /// there.
     pub(crate) fetching_until: HashMap<String, Millis>,
     /// Machines whose deletion is to be recorded, with the reasons.
-    pub(crate) marked_for_termination: BTreeMap<String, TerminationReason>,
+    pub(crate) marked_for_termination: BTreeMap<String, TerminationMark>,
     /// Since when machines with assigned tasks have had no record, as far as this controller knows.
     pub(crate) unrecorded_since: BTreeMap<String, Millis>,
     /// When failure detection last ran.
--- a/crates/core/src/workers/results.rs
+++ b/crates/core/src/workers/results.rs
@@ -15,7 +15,6 @@
 use crate::settings::Settings;
 use crate::state::StartDelivery;
 use crate::state::{Assignment, Key, MachinePhase, Record, TransactionBuilder};
-use crate::workers::termination::TerminationReason;
 use std::collections::BTreeMap;
 
 /// An attempt that has ended, until its end is recorded.
@@ -67,6 +66,7 @@
         };
         self.queue_results_of_deleted_machines();
         self.drop_outdated_evidence();
+        self.drop_outdated_marks();
 
         let max_changes = self.max_result_changes(changes_left);
         // While the rate limit is short of changes, results alone would fill every transaction.
@@ -152,10 +152,6 @@
             let assignment = cache.assignment_of_attempt(task, *attempt);
             assignment.is_some_and(|assignment| assignment.stop_reason.is_none())
         });
-        // A peer may have claimed a task for a machine since it was found idle.
-        self.workers.marked_for_termination.retain(|id, reason| {
-            *reason != TerminationReason::Idle || cache.assigned_task_count(id) == 0
-        });
         let mut updates = std::mem::take(&mut self.write_back.machine_updates);
         updates.retain(|id, update| self.updated_record(id, update).is_some());
         self.write_back.machine_updates = updates;
--- a/crates/core/src/workers/termination.rs
+++ b/crates/core/src/workers/termination.rs
@@ -1,6 +1,7 @@
 //! Machines that are to be deleted, and the reasons.
 
 use crate::controller::Controller;
+use crate::model::Millis;
 use crate::state::MachinePhase;
 use crate::zones::failures::EvacuationReason;
 
@@ -24,6 +25,15 @@
     ZoneEvacuation(EvacuationReason),
 }
 
+/// A machine's mark for termination, until its deletion is recorded.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TerminationMark {
+    /// Why it is to be deleted.
+    pub reason: TerminationReason,
+    /// When the reason was found.
+    pub marked_at: Millis,
+}
+
 impl TerminationReason {
     /// Returns the reason as it is logged.
     pub(crate) fn as_str(self) -> &'static str {
@@ -46,10 +56,25 @@
     pub(crate) fn mark_for_termination(&mut self, id: &str, reason: TerminationReason) {
         let phase = self.cache.machine(id).map(|machine| machine.phase);
         if phase != Some(MachinePhase::Deprovisioning) {
+            let marked_at = self.now;
             self.workers
                 .marked_for_termination
                 .entry(id.to_string())
-                .or_insert(reason);
+                .or_insert(TerminationMark { reason, marked_at });
         }
     }
+
+    /// Drops the marks whose reason no longer holds. A mark may be old: while the state store refuses this controller,
+    /// it records nothing but learns of claims and heartbeats.
+    pub(crate) fn drop_outdated_marks(&mut self) {
+        let mut marks = std::mem::take(&mut self.workers.marked_for_termination);
+        marks.retain(|id, mark| match mark.reason {
+            TerminationReason::Idle => self.cache.assigned_task_count(id) == 0,
+            TerminationReason::Unreachable => self
+                .last_worker_heartbeat(id)
+                .is_none_or(|at| at <= mark.marked_at),
+            _ => true,
+        });
+        self.workers.marked_for_termination = marks;
+    }
 }
--- a/crates/core/src/zones/detector.rs
+++ b/crates/core/src/zones/detector.rs
@@ -170,9 +170,9 @@
     /// already recorded.
     fn unmark_recovered(&mut self, zone: &str) {
         let cache = &self.cache;
-        self.workers.marked_for_termination.retain(|id, reason| {
+        self.workers.marked_for_termination.retain(|id, mark| {
             let in_zone = cache.machine(id).is_some_and(|m| m.zone == zone);
-            !(in_zone && matches!(reason, TerminationReason::ZoneEvacuation(_)))
+            !(in_zone && matches!(mark.reason, TerminationReason::ZoneEvacuation(_)))
         });
     }
 
--- a/crates/core/tests/scenarios/worker_failures.rs
+++ b/crates/core/tests/scenarios/worker_failures.rs
@@ -244,3 +244,37 @@
         sim.check_records();
     }
 }
+
+/// Guards against the deletion of a machine on an old decision: a controller found it unreachable, lost the state
+/// service before it could record that, and has learned since that the machine reports to a peer.
+#[test]
+fn a_machine_unreachable_before_an_outage_is_kept_if_it_reports_since() {
+    let mut kept = 0;
+    for offset_ms in (0..3_000).step_by(50) {
+        let mut sim = without_scale_in(offset_ms, 2, 4);
+        sim.workload.run_ms = 600_000;
+        sim.submit(1, job("j-1", 8));
+        sim.run_until(10_000, "runs", |sim| sim.running("j-1") == 8);
+        let name = "n-000000";
+        for worker in sim.workers.values_mut() {
+            worker.controller = 0;
+        }
+        sim.run(3_000);
+        sim.workers.get_mut(name).unwrap().disconnected = true;
+        sim.run(1_500 + offset_ms);
+        sim.controllers[0].refused_by_state = true;
+        sim.run(1_200);
+        sim.workers.get_mut(name).unwrap().disconnected = false;
+        // The worker finds the other controller, and the peers learn of it.
+        sim.run(6_000);
+        let is_deleted = sim.cloud.deleted.contains(name);
+        sim.controllers[0].refused_by_state = false;
+        sim.run(6_000);
+        if is_deleted {
+            continue;
+        }
+        assert!(!sim.cloud.deleted.contains(name), "offset {offset_ms} ms");
+        kept += 1;
+    }
+    assert!(kept > 10, "{kept} machines were kept");
+}
