--- a/crates/core/src/jobs/cancellation.rs
+++ b/crates/core/src/jobs/cancellation.rs
@@ -156,8 +156,8 @@
     /// Returns whether renewing a worker's lease can break no rule. Cancellations later than
     /// `g/settled` are answered when no task of the job is assigned any more. A cache that has
     /// reached that revision contains all earlier cancellations, and the controller stops their
-    /// tasks; one that is filled from its first list has reached none. A worker with a token above `CONFIRMED_CANCELLATION_TERM` proves that no task of an
-    /// earlier cancellation runs.
+    /// tasks; one that is filled from its first list has reached none. A worker with a token above
+    /// `CONFIRMED_CANCELLATION_TERM` proves that no task of an earlier cancellation runs.
     fn is_lease_renewal_safe(&self, heartbeat: &WorkerHeartbeat) -> bool {
         let confirmed_from = self.cache.mod_revision(&Key::CancellationConfirmation);
         heartbeat.token >= CONFIRMED_CANCELLATION_TERM
