Tests: the answer at the commit of a cancellation must come before the watch

a_cancellation_is_confirmed_at_its_commit_until_every_controller_is_upgraded still passed without is_confirmed_at_commit in job_cancelled (trial on a scratch copy): the request was answered once the watch had arrived, 500 ms later. It now asserts that the answer comes before; without the check it fails with 'answered late'.

--- a/crates/core/tests/scenarios/rolling_upgrade.rs
+++ b/crates/core/tests/scenarios/rolling_upgrade.rs
@@ -321,10 +321,12 @@
         sim.workers.get_mut(&machine).unwrap().disconnected = true;
         sim.run(2_500);
         // The answer doesn't wait until the watch has delivered the cancellation.
-        sim.delay_watch(1, 500);
+        let (watch_delay_ms, asked_ms) = (500, sim.now_ms);
+        sim.delay_watch(1, watch_delay_ms);
         let request = sim.cancel(1, "j-1");
         let reply = sim.await_answer(request);
         assert!(matches!(reply, UserReply::Cancelled { .. }), "{reply:?}");
+        assert!(sim.now_ms < asked_ms + watch_delay_ms, "answered late");
         for _ in 0..200 {
             for n in 0..3 {
                 sim.status(n, "j-1");
