--- a/crates/core/src/workers/registry.rs
+++ b/crates/core/src/workers/registry.rs
@@ -68,7 +68,7 @@
     /// Until when machines are estimated to fetch images for tasks that this controller placed
     /// there.
     pub(crate) fetching_until: HashMap<String, Millis>,
-    /// Machines whose deletion is to be recorded, with the reasons.
+    /// Machines whose deletion is to be recorded.
     pub(crate) marked_for_termination: BTreeMap<String, TerminationMark>,
     /// Since when machines with assigned tasks have had no record, as far as this controller knows.
     pub(crate) unrecorded_since: BTreeMap<String, Millis>,
--- a/crates/core/tests/scenarios/common.rs
+++ b/crates/core/tests/scenarios/common.rs
@@ -21,6 +21,13 @@
     sim
 }
 
+/// Submits a job and asserts that it is accepted.
+pub fn submit_accepted(sim: &mut Simulation, controller: usize, spec: JobSpec) {
+    let request = sim.submit(controller, spec.clone());
+    let reply = sim.await_answer(request);
+    assert!(matches!(reply, UserReply::Accepted { .. }), "{reply:?}");
+}
+
 pub fn is_done(sim: &Simulation, id: &str) -> bool {
     sim.job_phase(id) == Some(JobPhase::Done)
 }
--- a/crates/core/tests/scenarios/dependencies.rs
+++ b/crates/core/tests/scenarios/dependencies.rs
@@ -2,7 +2,7 @@
 //! its job are complete, and that a dependent of a cancelled job is not reported as pending or running for longer than
 //! a cancellation may take.
 
-use crate::common::{has_phase, started_cluster};
+use crate::common::{has_phase, started_cluster, submit_accepted};
 use glenmount_core::controller::UserReply;
 use glenmount_core::jobs::dependencies;
 use glenmount_core::model::{JobPriority, JobSpec, JobState};
@@ -17,13 +17,6 @@
     }
 }
 
-/// Submits a job and asserts that it is accepted.
-fn submit_accepted(sim: &mut Simulation, controller: usize, spec: JobSpec) {
-    let request = sim.submit(controller, spec.clone());
-    let reply = sim.await_answer(request);
-    assert!(matches!(reply, UserReply::Accepted { .. }), "{reply:?}");
-}
-
 /// Submits j-1, then j-2 and j-3, which depend on it, then j-4, which depends on both.
 fn submit_diamond(sim: &mut Simulation) {
     submit_accepted(sim, 0, job("j-1", 2));
--- a/crates/core/tests/scenarios/incomplete_lists.rs
+++ b/crates/core/tests/scenarios/incomplete_lists.rs
@@ -3,13 +3,14 @@
 //! cache may be on a later page, and the pages are of different ages. The simulation checks every answer against all
 //! earlier ones.
 
-use crate::common::started_cluster;
+use crate::common::{has_phase, is_done, started_cluster, submit_accepted};
 use crate::listing_controller::{listed_job, ListingController};
 use glenmount_core::controller::{Event, RequestId, UserReply};
 use glenmount_core::model::JobState;
 use glenmount_core::state::formats::{self, FormatRecord};
 use glenmount_core::state::{JobPhase, Key, Record};
 use glenmount_simulation::{dependent_job, job, service, settings, Simulation};
+use std::ops::Range;
 
 /// Time for which users poll: longer than the list of all records on pages of one record takes.
 const POLL_MS: u64 = 900;
@@ -32,13 +33,19 @@
         dependent_job("j-3", 1, &["j-2"]),
     ];
     for spec in specs {
-        let request = sim.submit(0, spec);
-        let reply = sim.await_answer(request);
-        assert!(matches!(reply, UserReply::Accepted { .. }), "{reply:?}");
+        submit_accepted(sim, 0, spec);
     }
     sim.run_until(20_000, "the task runs", |sim| sim.running("j-1") == 1);
 }
 
+/// Submits jobs that wait for the long task, so that the records take more pages.
+fn submit_waiting_jobs(sim: &mut Simulation, numbers: Range<u32>) {
+    for number in numbers {
+        let waiting = dependent_job(&format!("j-{number}"), 1, &["j-1"]);
+        submit_accepted(sim, 0, waiting);
+    }
+}
+
 /// Starts three controllers that run [`JOBS`], disconnects the machine of the long task, and cancels its job. The
 /// user is told to retry, since the task may still run.
 fn with_unconfirmed_cancellation(seed: u64) -> Simulation {
@@ -58,6 +65,11 @@
     assert!(matches!(reply, UserReply::RetryAfter { .. }), "{reply:?}");
 }
 
+/// Returns whether a poll was answered with this state.
+fn says(reply: Option<&UserReply>, expected: JobState) -> bool {
+    matches!(reply, Some(UserReply::Status { state, .. }) if *state == expected)
+}
+
 /// Polls all controllers for these jobs every millisecond. Returns the requests.
 fn poll(sim: &mut Simulation, jobs: &[&str], duration_ms: u64) -> Vec<RequestId> {
     let mut requests = Vec::new();
@@ -74,13 +86,7 @@
 /// Polls all controllers, and asserts that none of them says that one of the jobs is cancelled.
 fn assert_none_cancelled(sim: &mut Simulation, jobs: &[&str], context: &str) {
     for request in poll(sim, jobs, POLL_MS) {
-        let is_cancelled = matches!(
-            sim.answers.get(&request),
-            Some(UserReply::Status {
-                state: JobState::Cancelled,
-                ..
-            })
-        );
+        let is_cancelled = says(sim.answers.get(&request), JobState::Cancelled);
         assert!(!is_cancelled, "{context}");
     }
 }
@@ -92,7 +98,7 @@
     }
     sim.run_until(30_000, context, |sim| {
         JOBS.iter()
-            .all(|id| sim.job_phase(id) == Some(JobPhase::Cancelled))
+            .all(|id| has_phase(sim, id, JobPhase::Cancelled))
     });
     sim.run(1_000);
     for (controller, id) in JOBS.iter().enumerate() {
@@ -227,11 +233,7 @@
     for seed in 0..8 {
         let mut sim = started_cluster(seed, 3, 2);
         submit_pipeline(&mut sim);
-        for i in 100..130 {
-            let waiting = dependent_job(&format!("j-{i}"), 1, &["j-1"]);
-            let request = sim.submit(0, waiting);
-            sim.await_answer(request);
-        }
+        submit_waiting_jobs(&mut sim, 100..130);
         sim.state.page_size = 1;
         sim.crash(1, 20);
         sim.run(20 + 10 * seed);
@@ -255,9 +257,7 @@
     let mut sim = started_cluster(1, 3, 2);
     let request = sim.submit(0, job("j-1", 1));
     sim.await_answer(request);
-    sim.run_until(20_000, "done", |sim| {
-        sim.job_phase("j-1") == Some(JobPhase::Done)
-    });
+    sim.run_until(20_000, "done", |sim| is_done(sim, "j-1"));
     sim.state.page_size = 1;
     sim.crash(1, RESTART_MS);
     sim.run(RESTART_MS);
@@ -266,13 +266,7 @@
         let request = sim.status(1, "j-1");
         sim.run(4);
         let is_ready = sim.controllers[1].first_ready_ms.is_some();
-        let is_done = matches!(
-            sim.answers.get(&request),
-            Some(UserReply::Status {
-                state: JobState::Done,
-                ..
-            })
-        );
+        let is_done = says(sim.answers.get(&request), JobState::Done);
         answered_before_ready |= is_done && !is_ready;
     }
     assert!(answered_before_ready);
@@ -294,7 +288,7 @@
             sim.check_records();
         }
         sim.run_until(90_000, &format!("offset {offset_ms} ms"), |sim| {
-            sim.job_phase("j-1") == Some(JobPhase::Done)
+            is_done(sim, "j-1")
         });
     }
 }
@@ -308,11 +302,7 @@
         sim.settings.idle_timeout_ms = 8_000;
         sim.run(4_000);
         submit_pipeline(&mut sim);
-        for i in 100..160 {
-            let waiting = dependent_job(&format!("j-{i}"), 1, &["j-1"]);
-            let request = sim.submit(0, waiting);
-            sim.await_answer(request);
-        }
+        submit_waiting_jobs(&mut sim, 100..160);
         sim.run(8_000 + offset_ms - sim.now_ms.min(8_000));
         sim.state.page_size = 1;
         sim.delay_watch(0, 700);
@@ -379,14 +369,7 @@
         );
     }
     let reply = listing.status("j-3");
-    let is_done = matches!(
-        reply,
-        Some(UserReply::Status {
-            state: JobState::Done,
-            ..
-        })
-    );
-    assert!(is_done, "{reply:?}");
+    assert!(says(reply.as_ref(), JobState::Done), "{reply:?}");
 }
 
 /// Guards against a status for peers whose revision, term and configuration are defaults.
--- a/crates/core/tests/scenarios/leases_during_lists.rs
+++ b/crates/core/tests/scenarios/leases_during_lists.rs
@@ -1,12 +1,12 @@
 //! Leases of workers whose controller has lost the state service while it lists the records. It must not renew the
 //! lease of a worker that may hold a task of a job whose cancellation it has not read.
 
-use crate::listing_controller::{listed_job, ListedRecord, ListingController, START_TIME_MS};
+use crate::listing_controller::{listed_job, ListedRecord, ListingController};
 use glenmount_core::constants::CONFIRMED_CANCELLATION_TERM;
 use glenmount_core::controller::{Event, PeerHeartbeat, RequestId, WorkerReply};
 use glenmount_core::model::{TaskId, TaskPhase, TaskStatus, WorkerHeartbeat};
 use glenmount_core::state::{CancellationConfirmationRecord, JobPhase, Key, Record};
-use glenmount_simulation::{job, settings};
+use glenmount_simulation::{job, settings, START_TIME_MS};
 
 /// Number of controllers.
 const CONTROLLERS: usize = 3;
--- a/crates/core/tests/scenarios/listing_controller.rs
+++ b/crates/core/tests/scenarios/listing_controller.rs
@@ -8,11 +8,10 @@
 use glenmount_core::model::{JobSpec, WorkerHeartbeat};
 use glenmount_core::settings::Settings;
 use glenmount_core::state::{JobPhase, JobRecord, Key, Record};
+use glenmount_simulation::START_TIME_MS;
 
 /// Time between two ticks in milliseconds.
 const TICK_MS: u64 = 50;
-/// Wall-clock time at the start of the controller, in milliseconds since the Unix epoch.
-pub const START_TIME_MS: u64 = 1_700_000_000_000;
 
 /// A record as a list returns it: its key, the revision of its last change and its value.
 pub type ListedRecord = (Key, u64, Record);
@@ -100,11 +99,6 @@
             more: true,
             revision,
         };
-        self.answer_page_request(response);
-    }
-
-    /// Answers the outstanding request for a page.
-    pub fn answer_page_request(&mut self, response: StateResponse) {
         let operation_id = self.page_request.take().expect("a page is requested");
         self.handle(Event::State {
             operation_id,
